--- /dev/null
+++ b/cmd/wasabiwheel/check.go
@@ -0,0 +1,32 @@
+package main
+
+// The command that checks files offline.
+
+import (
+	"fmt"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/node"
+)
+
+type checkCommand struct {
+	Settings  []string `long:"settings" value-name:"FILE" description:"settings of a node (may be repeated)"`
+	Inventory []string `long:"inventory" value-name:"FILE" description:"inventory (may be repeated)"`
+}
+
+// Execute checks each file and stops at the first fault.
+func (c *checkCommand) Execute([]string) error {
+	for _, f := range c.Settings {
+		if _, err := node.ReadSettings(f); err != nil {
+			return err
+		}
+		fmt.Fprintln(output, f+": ok")
+	}
+	for _, f := range c.Inventory {
+		if _, err := inventory.Read(f); err != nil {
+			return err
+		}
+		fmt.Fprintln(output, f+": ok")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/wasabiwheel/try.go
@@ -0,0 +1,264 @@
+package main
+
+// The command that runs the whole path in one process: stand-ins of the
+// platform and of the targets, all nodes of the Lumbre example, and callers.
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiwheel/wasabiwheel/configuration"
+	"github.com/wasabiwheel/wasabiwheel/examples"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/lookup"
+	"github.com/wasabiwheel/wasabiwheel/node"
+	"github.com/wasabiwheel/wasabiwheel/platform"
+	"github.com/wasabiwheel/wasabiwheel/standin"
+)
+
+const (
+	tryPlatform = "127.20.0.1:9000"
+	tryReady    = 15 * time.Second // for the nodes to own their endpoints
+	tryPoll     = 100 * time.Millisecond
+	tryWork     = 10 * time.Millisecond
+	tryMaxTime  = 10_000_000 // microseconds, of the histogram
+)
+
+type tryCommand struct {
+	Desks    int `long:"desks" default:"12" description:"callers"`
+	Requests int `long:"requests" default:"50" description:"requests of each caller; each fifth is a reservation"`
+}
+
+// trial is one run of the whole path.
+type trial struct {
+	inv     *inventory.Inventory
+	targets map[inventory.EndpointID]*standin.Target
+
+	mu       sync.Mutex
+	times    *hdrhistogram.Histogram // microseconds
+	outcomes map[string]int
+	served   map[string]int
+	keys     map[string]bool // of reservations that were answered
+}
+
+// Execute runs the trial and fails unless everything was served, once.
+func (c *tryCommand) Execute([]string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	t, err := newTrial(ctx)
+	if err != nil {
+		return err
+	}
+	if err := t.awaitReady(ctx); err != nil {
+		return err
+	}
+	t.runDesks(c.Desks, c.Requests)
+	return t.report(c.Desks * c.Requests)
+}
+
+func newTrial(ctx context.Context) (*trial, error) {
+	inv, err := inventory.Parse("lumbre.toml", examples.Lumbre)
+	if err != nil {
+		return nil, err
+	}
+	t := &trial{
+		inv:      inv,
+		targets:  map[inventory.EndpointID]*standin.Target{},
+		times:    hdrhistogram.New(1, tryMaxTime, 3),
+		outcomes: map[string]int{},
+		served:   map[string]int{},
+		keys:     map[string]bool{},
+	}
+	if err := serveStandin(ctx, tryPlatform, standin.NewPlatform()); err != nil {
+		return nil, err
+	}
+	if err := t.startTargets(ctx); err != nil {
+		return nil, err
+	}
+	store := platform.New(platform.Options{Base: "http://" + tryPlatform})
+	if _, err := configuration.Publish(ctx, store, configuration.Change{Text: examples.Lumbre, Author: "try"}); err != nil {
+		return nil, err
+	}
+	t.startNodes(ctx)
+	return t, nil
+}
+
+func (t *trial) startTargets(ctx context.Context) error {
+	for _, e := range t.inv.Endpoints {
+		target := standin.NewTarget(string(e.ID), standin.Behaviour{Work: tryWork})
+		t.targets[e.ID] = target
+		if err := serveStandin(ctx, e.Address, target); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *trial) startNodes(ctx context.Context) {
+	for _, e := range t.inv.Entries {
+		s := node.Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + tryPlatform}
+		go func() { _ = node.New(s, node.Options{}).Run(ctx) }()
+	}
+}
+
+// awaitReady waits until each endpoint is owned and usable.
+func (t *trial) awaitReady(ctx context.Context) error {
+	fmt.Fprintf(output, "%d nodes, %d endpoints; waiting until each endpoint has an owner\n", len(t.inv.Entries), len(t.inv.Endpoints))
+	want := 0
+	for _, e := range t.inv.Endpoints {
+		want += e.Slots
+	}
+	limit := time.Now().Add(tryReady)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		if t.slots() == want {
+			return nil
+		}
+		time.Sleep(tryPoll)
+	}
+	return &Error{Op: "try", Kind: KindFailed, Err: errors.Newf("%d of %d slots owned after %s", t.slots(), want, tryReady)}
+}
+
+func (t *trial) slots() int {
+	sum := 0
+	for _, e := range t.inv.Entries {
+		var s node.Status
+		if getJSON("http://"+e.Admin+node.PathStatus, &s) != nil {
+			continue
+		}
+		for _, l := range s.Loads {
+			sum += l.Slots
+		}
+	}
+	return sum
+}
+
+func (t *trial) runDesks(desks, requests int) {
+	var wait sync.WaitGroup
+	for i := range desks {
+		block := t.inv.Blocks[i%len(t.inv.Blocks)].ID
+		wait.Go(func() { t.runDesk(block, requests) })
+	}
+	wait.Wait()
+}
+
+// reservationEvery is the share of once-only requests: one in five.
+const reservationEvery = 5
+
+func (t *trial) runDesk(block inventory.BlockID, requests int) {
+	for i := range requests {
+		service := "catalogue"
+		if i%reservationEvery == 0 {
+			service = "reservations"
+		}
+		var a lookup.Answer
+		ask := fmt.Sprintf("http://%s/lookup?service=%s&block=%s", t.inv.Entries[0].Caller, service, block)
+		if err := getJSON(ask, &a); err != nil || len(a.Entries) == 0 {
+			t.note("no look-up", "", "", 0)
+			continue
+		}
+		t.request(a.Entries[0], service, block, i)
+	}
+}
+
+func (t *trial) request(e lookup.Entry, service string, block inventory.BlockID, i int) {
+	method, key := http.MethodGet, ""
+	if service == "reservations" {
+		method, key = http.MethodPost, e.Token+"~"+rand.Text()
+	}
+	body := fmt.Sprintf("%s-%d", block, i)
+	req, err := http.NewRequest(method, "http://"+e.Address+"/serve/"+service+"/lamps/"+body, strings.NewReader(body))
+	if err != nil {
+		t.note(err.Error(), "", "", 0)
+		return
+	}
+	req.Header.Set(node.HeaderBlock, string(block))
+	if key != "" {
+		req.Header.Set(node.HeaderKey, key)
+	}
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.note("broken", "", "", time.Since(began))
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	t.noteAnswer(resp, body, key, time.Since(began))
+}
+
+func (t *trial) noteAnswer(resp *http.Response, body, key string, took time.Duration) {
+	if o := resp.Header.Get(node.HeaderOutcome); o != "" {
+		t.note(o+" ("+resp.Header.Get(node.HeaderReason)+")", "", "", took)
+		return
+	}
+	var echo standin.Echo
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || json.NewDecoder(bytes.NewReader(data)).Decode(&echo) != nil || echo.Body != body {
+		t.note("wrong answer", "", "", took)
+		return
+	}
+	t.note("served", echo.Target, key, took)
+}
+
+func (t *trial) note(outcome, target, key string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outcomes[outcome]++
+	if target != "" {
+		t.served[target]++
+		_ = t.times.RecordValue(took.Microseconds())
+	}
+	if key != "" {
+		t.keys[key] = true
+	}
+}
+
+// report prints what happened and fails unless all requests were served and
+// each reservation ran once.
+func (t *trial) report(want int) error {
+	for _, e := range t.inv.Endpoints {
+		l := t.targets[e.ID].Ledger()
+		fmt.Fprintf(output, "%-16s %-9s served %4d, at most %d of %d slots in use\n", e.ID, e.Domain, t.served[string(e.ID)], l.Peak, e.Slots)
+		if l.Peak > e.Slots {
+			return &Error{Op: "try", Kind: KindFailed, Err: errors.Newf("%s had %d requests in %d slots", e.ID, l.Peak, e.Slots)}
+		}
+	}
+	for o, count := range t.outcomes {
+		fmt.Fprintf(output, "%s: %d\n", o, count)
+	}
+	fmt.Fprintf(output, "latency: p50 %.1f ms, p99 %.1f ms, max %.1f ms\n",
+		float64(t.times.ValueAtQuantile(50))/1000, float64(t.times.ValueAtQuantile(99))/1000, float64(t.times.Max())/1000)
+	if err := t.checkOnce(); err != nil {
+		return err
+	}
+	if t.outcomes["served"] != want {
+		return &Error{Op: "try", Kind: KindFailed, Err: errors.Newf("%d of %d requests were served", t.outcomes["served"], want)}
+	}
+	return nil
+}
+
+func (t *trial) checkOnce() error {
+	ran := map[string]int{}
+	for _, target := range t.targets {
+		for key, times := range target.Ledger().Keys {
+			ran[key] += times
+		}
+	}
+	for key := range t.keys {
+		if ran[key] != 1 {
+			return &Error{Op: "try", Kind: KindFailed, Err: errors.Newf("reservation %s ran %d times", key, ran[key])}
+		}
+	}
+	fmt.Fprintf(output, "%d reservations, each ran once\n", len(t.keys))
+	return nil
+}
--- /dev/null
+++ b/endpoint/admit.go
@@ -0,0 +1,198 @@
+package endpoint
+
+// Admission: a free slot, a place in the queue, or a refusal at once.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone Reason = "none" // no endpoint of the service is owned here and usable
+	ReasonFull Reason = "full" // the queue is at its bound
+	ReasonLate Reason = "late" // the wait ahead would not leave enough time
+)
+
+// firstEstimate stands for the time a request takes before one was seen.
+const firstEstimate = 20 * time.Millisecond
+
+// smoothing is the weight of the newest request in the running mean.
+const smoothing = 0.1
+
+// Slot is the right to have one request in flight at an endpoint. Who holds it
+// must give it back with Release.
+type Slot struct {
+	Endpoint inventory.EndpointID
+	Address  string
+}
+
+// Ticket is a place in the queue. Ready yields the slot.
+type Ticket struct {
+	Ready    chan Slot
+	service  inventory.ServiceID
+	deadline time.Time
+}
+
+// Refusal says why nothing was started, and when to come back.
+type Refusal struct {
+	Reason Reason
+	After  time.Duration
+}
+
+// Verdict is the outcome of Admit: exactly one field is set.
+type Verdict struct {
+	Slot    *Slot
+	Ticket  *Ticket
+	Refusal *Refusal
+}
+
+// queue holds the requests that wait for a slot of one service.
+type queue struct {
+	waiting []*Ticket
+	limit   int
+	mean    time.Duration // that a request occupies a slot
+}
+
+func (t *Table) queueOf(id inventory.ServiceID) *queue {
+	q, ok := t.queues[id]
+	if !ok {
+		q = &queue{mean: firstEstimate}
+		t.queues[id] = q
+	}
+	return q
+}
+
+// Admit decides on a request that must be answered by deadline.
+func (t *Table) Admit(now time.Time, service inventory.ServiceID, deadline time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.queueOf(service)
+	l := t.load(now, service)
+	if l.Slots == 0 {
+		return refuse(ReasonNone, t.deadlineOrZero(service))
+	}
+	if len(q.waiting) == 0 {
+		if s, ok := t.take(now, service); ok {
+			return Verdict{Slot: &s}
+		}
+	}
+	wait := q.mean * time.Duration(len(q.waiting)+1) / time.Duration(l.Slots)
+	if len(q.waiting) >= q.limit {
+		return refuse(ReasonFull, wait)
+	}
+	if now.Add(wait + q.mean).After(deadline) {
+		return refuse(ReasonLate, wait)
+	}
+	ticket := &Ticket{Ready: make(chan Slot, 1), service: service, deadline: deadline}
+	q.waiting = append(q.waiting, ticket)
+	return Verdict{Ticket: ticket}
+}
+
+func refuse(r Reason, after time.Duration) Verdict {
+	return Verdict{Refusal: &Refusal{Reason: r, After: after}}
+}
+
+func (t *Table) deadlineOrZero(id inventory.ServiceID) time.Duration {
+	if t.inv == nil {
+		return 0
+	}
+	return t.deadlineOf(id)
+}
+
+// take occupies a slot of the least used endpoint of a service.
+func (t *Table) take(now time.Time, service inventory.ServiceID) (Slot, bool) {
+	var best *point
+	for _, p := range t.points {
+		if p.Service != service || !p.usableAt(now) || p.busy >= p.Slots {
+			continue
+		}
+		if best == nil || p.less(best) {
+			best = p
+		}
+	}
+	if best == nil {
+		return Slot{}, false
+	}
+	best.busy++
+	return Slot{Endpoint: best.ID, Address: best.Address}, true
+}
+
+// less orders endpoints by the share of slots in use, then by id.
+func (p *point) less(q *point) bool {
+	a, b := p.busy*q.Slots, q.busy*p.Slots
+	if a != b {
+		return a < b
+	}
+	return p.ID < q.ID
+}
+
+// Release gives a slot back after it was occupied for the given time; 0 means
+// that the time says nothing about the service.
+func (t *Table) Release(now time.Time, s Slot, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.points[s.Endpoint]
+	if !ok {
+		return
+	}
+	p.busy--
+	if took > 0 {
+		q := t.queueOf(p.Service)
+		q.mean += time.Duration(smoothing * float64(took-q.mean))
+	}
+	if p.busy == 0 && !t.declared(s.Endpoint) {
+		delete(t.points, s.Endpoint)
+	}
+	t.dispatch(now)
+}
+
+func (t *Table) declared(id inventory.EndpointID) bool {
+	return slices.ContainsFunc(t.inv.Endpoints, func(e inventory.Endpoint) bool { return e.ID == id })
+}
+
+// Cancel takes a request out of the queue. When its slot has been handed out
+// already, it is given back.
+func (t *Table) Cancel(now time.Time, k *Ticket) {
+	t.mu.Lock()
+	q := t.queueOf(k.service)
+	q.waiting = slices.DeleteFunc(q.waiting, func(x *Ticket) bool { return x == k })
+	t.mu.Unlock()
+	select {
+	case s := <-k.Ready:
+		t.Release(now, s, 0)
+	default:
+	}
+}
+
+// Tick hands out what has become usable by the passing of time alone.
+func (t *Table) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dispatch(now)
+}
+
+// dispatch hands free slots to the requests that wait, the oldest first. Those
+// whose deadline has passed are left to their own timers.
+func (t *Table) dispatch(now time.Time) {
+	for id, q := range t.queues {
+		for len(q.waiting) > 0 {
+			next := q.waiting[0]
+			if now.After(next.deadline) {
+				q.waiting = q.waiting[1:]
+				continue
+			}
+			s, ok := t.take(now, id)
+			if !ok {
+				break
+			}
+			q.waiting = q.waiting[1:]
+			next.Ready <- s
+		}
+	}
+}
--- /dev/null
+++ b/inventory/decode.go
@@ -0,0 +1,92 @@
+package inventory
+
+// This file reads TOML strictly and remembers on which line each key stands,
+// so that a semantic fault found after decoding can still name its line.
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Lines maps a key path, such as "endpoint.3.slots", to its 1-based line.
+type Lines map[string]int
+
+// Decode reads TOML from data into out and refuses unknown keys. The file name
+// serves the error only. It fails with an *Error of KindSyntax or KindUnknown.
+func Decode(file string, data []byte, out any) (Lines, error) {
+	dec := toml.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(out); err != nil {
+		return nil, decodeError(file, err)
+	}
+	return scanLines(data), nil
+}
+
+func decodeError(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		row, _ := first.Position()
+		key := strings.Join(first.Key(), ".")
+		return &Error{Op: "decode", Kind: KindUnknown, File: file, Line: row, Key: key, Err: errors.New("unknown key")}
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, _ := bad.Position()
+		key := strings.Join(bad.Key(), ".")
+		return &Error{Op: "decode", Kind: KindSyntax, File: file, Line: row, Key: key, Err: errors.New(bad.Error())}
+	}
+	return &Error{Op: "decode", Kind: KindSyntax, File: file, Err: err}
+}
+
+// scanLines walks the syntax tree once more and notes the line of each key.
+// The text has been decoded before, so it is known to parse.
+func scanLines(data []byte) Lines {
+	lines := Lines{}
+	counts := map[string]int{}
+	prefix := ""
+	p := unstable.Parser{}
+	p.Reset(data)
+	for p.NextExpression() {
+		e := p.Expression()
+		key := keyPath(e)
+		switch e.Kind {
+		case unstable.ArrayTable:
+			prefix = key + "." + strconv.Itoa(counts[key])
+			counts[key]++
+			lines[prefix] = keyLine(&p, e)
+		case unstable.Table:
+			prefix = key
+			lines[prefix] = keyLine(&p, e)
+		case unstable.KeyValue:
+			lines[join(prefix, key)] = keyLine(&p, e)
+		}
+	}
+	return lines
+}
+
+func join(prefix, key string) string {
+	if prefix == "" {
+		return key
+	}
+	return prefix + "." + key
+}
+
+func keyPath(e *unstable.Node) string {
+	var parts []string
+	for it := e.Key(); it.Next(); {
+		parts = append(parts, string(it.Node().Data))
+	}
+	return strings.Join(parts, ".")
+}
+
+func keyLine(p *unstable.Parser, e *unstable.Node) int {
+	it := e.Key()
+	it.Next()
+	return p.Shape(it.Node().Raw).Start.Line
+}
--- /dev/null
+++ b/member/message.go
@@ -0,0 +1,61 @@
+package member
+
+// The heartbeat as it travels between nodes.
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+// MaxMessage bounds an encoded heartbeat, in bytes.
+const MaxMessage = 64 << 10
+
+// Load is what a node can take of one service.
+type Load struct {
+	Service inventory.ServiceID `cbor:"service"`
+	Free    int                 `cbor:"free"`  // free slots
+	Slots   int                 `cbor:"slots"` // slots of the endpoints that the node owns
+	Queue   int                 `cbor:"queue"` // requests waiting for a slot
+}
+
+// Heartbeat is the one message between nodes. The dialling side sends its own,
+// the other side answers with its own; each tells what it has heard.
+type Heartbeat struct {
+	Entry       inventory.EntryID     `cbor:"entry"`
+	Incarnation inventory.Incarnation `cbor:"incarnation"`
+	Period      uint32                `cbor:"period"` // of the tokens that it accepts now
+	Leaving     bool                  `cbor:"leaving"`
+	Version     inventory.Version     `cbor:"version"` // configuration in force
+	Loads       []Load                `cbor:"loads"`
+	// Holds lists the endpoints that the sender sends work to, or still has
+	// work in flight at.
+	Holds []inventory.EndpointID `cbor:"holds"`
+	// Heard is the receiver's incarnation as the sender knows it, 0 if unknown.
+	Heard inventory.Incarnation `cbor:"heard"`
+}
+
+// Encode returns the CBOR form of a heartbeat.
+func (h Heartbeat) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(h)
+	if err != nil {
+		return nil, &Error{Op: "encode", Kind: KindMessage, Err: err}
+	}
+	return data, nil
+}
+
+// Decode reads a heartbeat and checks its bounds.
+func Decode(data []byte) (Heartbeat, error) {
+	var h Heartbeat
+	if len(data) > MaxMessage {
+		return h, &Error{Op: "decode", Kind: KindMessage, Err: errors.Newf("%d bytes", len(data))}
+	}
+	if err := cbor.Unmarshal(data, &h); err != nil {
+		return h, &Error{Op: "decode", Kind: KindMessage, Err: err}
+	}
+	if h.Entry == "" || h.Incarnation == 0 {
+		return h, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("no sender")}
+	}
+	return h, nil
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,54 @@
+package node
+
+// What operators see: the node's status.
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/member"
+)
+
+// PathStatus is the path of the status on the admin address.
+const PathStatus = "/status"
+
+// Status is what a node tells operators.
+type Status struct {
+	Entry    inventory.EntryID      `json:"entry"`
+	State    State                  `json:"state"`
+	Version  inventory.Version      `json:"version"`
+	Members  []inventory.EntryID    `json:"members"`
+	Holds    []inventory.EndpointID `json:"holds"`
+	Loads    []member.Load          `json:"loads"`
+	Counters map[string]int64       `json:"counters"`
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.Status())
+	})
+	return mux
+}
+
+// Status returns the node's present state.
+func (n *Node) Status() Status {
+	now := time.Now()
+	s := Status{
+		Entry:    n.settings.ID,
+		State:    n.state(),
+		Version:  n.config.Version(),
+		Holds:    n.endpoints.Holds(),
+		Counters: n.counters.snapshot(),
+	}
+	for _, m := range n.members.Live(now) {
+		s.Members = append(s.Members, m.Entry)
+	}
+	for _, l := range n.endpoints.Loads(now) {
+		s.Loads = append(s.Loads, member.Load(l))
+	}
+	return s
+}
--- /dev/null
+++ b/node/heartbeat.go
@@ -0,0 +1,184 @@
+package node
+
+// Heartbeats: one WebSocket to each other node, on which this node sends its
+// own state at an interval and gets the other's state back.
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"k8s.io/klog/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/member"
+)
+
+// neighbours keeps one heartbeat loop running for each other entry VM.
+type neighbours struct {
+	stop map[inventory.EntryID]context.CancelFunc
+}
+
+// follow starts and ends loops so that there is one for each entry VM of the
+// inventory. It is called under the node's configuration lock.
+func (n *Node) followNeighbours(inv *inventory.Inventory) {
+	for id, stop := range n.neighbours.stop {
+		if _, ok := inv.Entry(id); !ok {
+			stop()
+			delete(n.neighbours.stop, id)
+		}
+	}
+	for _, e := range inv.Entries {
+		if _, running := n.neighbours.stop[e.ID]; running || e.ID == n.settings.ID {
+			continue
+		}
+		ctx, stop := context.WithCancel(n.ctx)
+		n.neighbours.stop[e.ID] = stop
+		n.background.Go(func() { n.beatLoop(ctx, e) })
+	}
+}
+
+// beatLoop exchanges heartbeats with one neighbour until ctx ends.
+func (n *Node) beatLoop(ctx context.Context, e inventory.Entry) {
+	for ctx.Err() == nil {
+		n.beatConnection(ctx, e)
+		sleep(ctx, member.Interval)
+	}
+}
+
+// beatConnection exchanges heartbeats on one connection until it fails.
+func (n *Node) beatConnection(ctx context.Context, e inventory.Entry) {
+	began := time.Now()
+	dialCtx, cancel := context.WithTimeout(ctx, member.SuspectAfter)
+	defer cancel()
+	conn, resp, err := websocket.Dial(dialCtx, "ws://"+e.Peer+pathMember, &websocket.DialOptions{HTTPClient: n.beats})
+	if resp != nil && resp.Body != nil {
+		defer func() { _ = resp.Body.Close() }()
+	}
+	if err != nil {
+		if isRefused(err) {
+			n.refused(e.ID, began)
+		}
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(member.MaxMessage)
+	for ctx.Err() == nil {
+		if err := n.beat(ctx, conn, e.ID); err != nil {
+			klog.V(1).InfoS("heartbeat failed", "entry", e.ID, "err", err)
+			return
+		}
+		sleep(ctx, member.Interval)
+	}
+}
+
+// beat sends one heartbeat and takes in the answer.
+func (n *Node) beat(ctx context.Context, conn *websocket.Conn, to inventory.EntryID) error {
+	ctx, cancel := context.WithTimeout(ctx, member.SuspectAfter)
+	defer cancel()
+	if err := n.sendHeartbeat(ctx, conn, to); err != nil {
+		return err
+	}
+	_, err := n.readHeartbeat(ctx, conn)
+	return err
+}
+
+// acceptMember answers the heartbeats of one neighbour.
+func (n *Node) acceptMember(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(member.MaxMessage)
+	for n.ctx.Err() == nil {
+		if err := n.answerHeartbeat(conn); err != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) answerHeartbeat(conn *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(n.ctx, member.SuspectAfter)
+	defer cancel()
+	h, err := n.readHeartbeat(ctx, conn)
+	if err != nil {
+		return err
+	}
+	return n.sendHeartbeat(ctx, conn, h.Entry)
+}
+
+func (n *Node) sendHeartbeat(ctx context.Context, conn *websocket.Conn, to inventory.EntryID) error {
+	data, err := n.heartbeat(to).Encode()
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (n *Node) readHeartbeat(ctx context.Context, conn *websocket.Conn) (member.Heartbeat, error) {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return member.Heartbeat{}, err
+	}
+	h, err := member.Decode(data)
+	if err != nil {
+		return h, err
+	}
+	n.heard(h)
+	return h, nil
+}
+
+// heartbeat is this node's state, as told to another node.
+func (n *Node) heartbeat(to inventory.EntryID) member.Heartbeat {
+	now := time.Now()
+	h := member.Heartbeat{
+		Entry:       n.settings.ID,
+		Incarnation: n.incarnation,
+		Period:      uint32(n.bookings.Token(now).Period),
+		Leaving:     n.leaving(),
+		Version:     n.config.Version(),
+		Holds:       n.endpoints.Holds(),
+		Heard:       n.members.Incarnation(to),
+	}
+	for _, l := range n.endpoints.Loads(now) {
+		h.Loads = append(h.Loads, member.Load(l))
+	}
+	return h
+}
+
+// heard takes in another node's state.
+func (n *Node) heard(h member.Heartbeat) {
+	now := time.Now()
+	n.members.Heard(now, h)
+	n.endpoints.Heard(now, h.Entry, h.Heard == n.incarnation, h.Holds)
+	if h.Version > n.config.Version() {
+		n.wakeFollower(h.Entry)
+	}
+}
+
+// refused takes in that a neighbour's address refused a connection.
+func (n *Node) refused(id inventory.EntryID, began time.Time) {
+	now := time.Now()
+	if n.members.Refused(id, began) {
+		klog.V(1).InfoS("neighbour is dead", "entry", id)
+	}
+	n.endpoints.Dead(now, id, began)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// newBeatClient returns the client for heartbeats, apart from that for
+// requests so that neither waits for the other's connections.
+func newBeatClient(over Network) *http.Client {
+	return &http.Client{Transport: newTransport(over, 0)}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,287 @@
+// Package node runs one entry VM's part of the system: it wires the decisions
+// of the other packages to HTTP, WebSocket and the platform.
+//
+// A node listens on three addresses: for callers (look-ups and requests), for
+// other nodes (heartbeats, requests handed over, configuration) and for
+// operators (status). It starts serving callers when it has a configuration.
+//
+// The tables (configuration, members, regions, endpoints, bookings) each have
+// their own lock, and none calls another, so at most one of these locks is held
+// at a time. Above them stands the lock that orders the putting in force of
+// configurations; it is taken first.
+//
+// # Usage
+//
+//	s, err := node.ReadSettings("node.toml")
+//	n := node.New(s, node.Options{})
+//	err = n.Run(ctx) // until ctx ends, then leaves in order
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/looplab/fsm"
+	"k8s.io/klog/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/booking"
+	"github.com/wasabiwheel/wasabiwheel/configuration"
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/lookup"
+	"github.com/wasabiwheel/wasabiwheel/member"
+	"github.com/wasabiwheel/wasabiwheel/platform"
+	"github.com/wasabiwheel/wasabiwheel/region"
+)
+
+// Timing of a node.
+const (
+	idleTimeout   = 30 * time.Second       // of an unused connection
+	headerTimeout = 5 * time.Second        // to receive a request's header
+	tickInterval  = 100 * time.Millisecond // of what changes by time alone
+	leaveAfter    = lookup.TTL + member.SuspectAfter
+	stopLimit     = time.Minute // for the requests in flight at a stop
+	targetConns   = 330         // to one endpoint
+)
+
+// State of a node's life.
+type State string
+
+// The states.
+const (
+	StateStarting State = "starting"
+	StateServing  State = "serving"
+	StateLeaving  State = "leaving"
+	StateStopped  State = "stopped"
+)
+
+var life = fsm.Events{
+	{Name: "serve", Src: []string{string(StateStarting)}, Dst: string(StateServing)},
+	{Name: "leave", Src: []string{string(StateStarting), string(StateServing)}, Dst: string(StateLeaving)},
+	{Name: "stop", Src: []string{string(StateLeaving)}, Dst: string(StateStopped)},
+}
+
+// Network is how a node reaches others. Tests put another one in its place.
+type Network interface {
+	Listen(network, address string) (net.Listener, error)
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the Network of the machine.
+type TCP struct{ net.Dialer }
+
+// Listen announces on the local address.
+func (*TCP) Listen(network, address string) (net.Listener, error) {
+	return net.Listen(network, address)
+}
+
+// Options changes what a node is made of; the zero value is for production.
+type Options struct {
+	Network  Network // nil: TCP
+	Bookings booking.Limits
+}
+
+// Node is one entry VM's process.
+type Node struct {
+	settings    Settings
+	incarnation inventory.Incarnation
+	network     Network
+	counters    counters
+	life        *fsm.FSM
+
+	config    *configuration.Table
+	members   *member.Table
+	regions   *region.Table
+	endpoints *endpoint.Table
+	bookings  *booking.Table
+
+	store   *platform.Client
+	targets *http.Client
+	peers   *http.Client
+	beats   *http.Client
+
+	ctx        context.Context // ends when the node has left
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	work       atomic.Int64 // requests and operations in flight
+	newer      chan inventory.EntryID
+
+	applying   sync.Mutex
+	neighbours neighbours
+}
+
+// New returns a node that does nothing yet.
+func New(s Settings, o Options) *Node {
+	if o.Network == nil {
+		o.Network = &TCP{}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		settings:    s,
+		incarnation: newIncarnation(),
+		network:     o.Network,
+		counters:    newCounters(),
+		life:        fsm.NewFSM(string(StateStarting), life, nil),
+		config:      configuration.New(),
+		members:     member.New(s.ID),
+		regions:     region.New(s.ID),
+		endpoints:   endpoint.New(s.ID),
+		targets:     &http.Client{Transport: newTransport(o.Network, targetConns), CheckRedirect: keepRedirect},
+		peers:       &http.Client{Transport: newPeerTransport(o.Network), CheckRedirect: keepRedirect},
+		beats:       newBeatClient(o.Network),
+		store:       platform.New(platform.Options{Base: s.Platform, HTTP: &http.Client{Transport: newTransport(o.Network, 0)}}),
+		ctx:         ctx,
+		cancel:      cancel,
+		newer:       make(chan inventory.EntryID, 1),
+		neighbours:  neighbours{stop: map[inventory.EntryID]context.CancelFunc{}},
+	}
+	n.bookings = booking.New(s.ID, n.incarnation, o.Bookings, time.Now())
+	return n
+}
+
+// keepRedirect passes a target's redirect on to the caller.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func newIncarnation() inventory.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return inventory.Incarnation(binary.BigEndian.Uint64(b[:]) | 1)
+}
+
+// newPeerTransport speaks HTTP/2 without encryption between nodes.
+func newPeerTransport(over Network) *http.Transport {
+	t := newTransport(over, 0)
+	t.Protocols = new(http.Protocols)
+	t.Protocols.SetUnencryptedHTTP2(true)
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: member.Interval, PingTimeout: member.SuspectAfter}
+	return t
+}
+
+// server is one listening address with what serves it.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (n *Node) listen(address string, h http.Handler) (server, error) {
+	l, err := n.network.Listen("tcp", address)
+	if err != nil {
+		return server{}, &Error{Op: "listen", Kind: KindNetwork, Err: err}
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTimeout}
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return server{http: s, listener: l}, nil
+}
+
+// Run serves until ctx ends, then leaves: it takes itself out of look-ups,
+// waits until callers know, finishes what is in flight, and returns. It fails
+// with an *Error when an address cannot be bound.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.cancel()
+	servers, err := n.open()
+	if err != nil {
+		return err
+	}
+	for _, s := range servers {
+		n.background.Go(func() { _ = s.http.Serve(s.listener) })
+	}
+	n.background.Go(func() { n.followStore(n.ctx) })
+	n.background.Go(func() { n.followPeers(n.ctx) })
+	n.background.Go(func() { n.tick(n.ctx) })
+	klog.InfoS("node started", "entry", n.settings.ID, "caller", n.settings.Caller, "peer", n.settings.Peer)
+	<-ctx.Done()
+	n.leave(servers)
+	return nil
+}
+
+// open binds the addresses, callers first. The peer address is bound before
+// this node says anything to another one: a refused connection means death.
+func (n *Node) open() ([]server, error) {
+	var servers []server
+	for _, b := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Caller, n.callerHandler()},
+		{n.settings.Admin, n.adminHandler()},
+		{n.settings.Peer, n.peerHandler()},
+	} {
+		s, err := n.listen(b.address, b.handler)
+		if err != nil {
+			closeAll(servers)
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func closeAll(servers []server) {
+	for _, s := range servers {
+		_ = s.listener.Close()
+	}
+}
+
+// tick does what is due by the passing of time.
+func (n *Node) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.endpoints.Tick(time.Now())
+		if n.config.Version() > 0 && n.state() == StateStarting {
+			n.move("serve")
+		}
+		sleep(ctx, tickInterval)
+	}
+}
+
+// leave ends the node in order. The peer server ends last, since a refused
+// connection there tells others that nothing of this process is left.
+func (n *Node) leave(servers []server) {
+	n.move("leave")
+	klog.InfoS("node leaves", "entry", n.settings.ID)
+	sleep(n.ctx, leaveAfter)
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.http.Shutdown(ctx)
+		n.awaitWork(ctx)
+	}
+	n.move("stop")
+	n.cancel()
+	n.background.Wait()
+	klog.InfoS("node stopped", "entry", n.settings.ID)
+}
+
+// awaitWork waits until no operation is in flight, which may outlive the
+// connection of its caller.
+func (n *Node) awaitWork(ctx context.Context) {
+	for n.work.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, tickInterval)
+	}
+}
+
+// move takes a step in the node's life.
+func (n *Node) move(event string) { n.check("life", n.life.Event(context.Background(), event)) }
+
+func (n *Node) state() State { return State(n.life.Current()) }
+
+func (n *Node) leaving() bool {
+	s := n.state()
+	return s == StateLeaving || s == StateStopped
+}
+
+// check reports a broken invariant. It is a fault of this program.
+func (n *Node) check(what string, err error) {
+	if err == nil {
+		return
+	}
+	n.counters.add("invariant." + what)
+	klog.ErrorS(err, "invariant broken", "what", what)
+}
--- /dev/null
+++ b/node/outcome.go
@@ -0,0 +1,128 @@
+package node
+
+// What a caller is told: the outcome of a request, and answers that the system
+// itself gives.
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of the protocol with callers, targets and other nodes.
+const (
+	HeaderOutcome = "Wasabiwheel-Outcome" // on each answer that the system gives itself
+	HeaderReason  = "Wasabiwheel-Reason"  // why, beside the outcome
+	HeaderTimeout = "Wasabiwheel-Timeout" // of a request, in milliseconds
+	HeaderBlock   = "Wasabiwheel-Block"   // the caller's block
+	HeaderRegion  = "Wasabiwheel-Region"  // the caller's region
+	HeaderToken   = "Wasabiwheel-Token"   // for new once-only operations
+	HeaderKey     = "Idempotency-Key"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeRan     Outcome = "ran"     // a target gave a whole answer
+	OutcomeNotRun  Outcome = "not-run" // it did not run, and will not
+	OutcomeUnknown Outcome = "unknown" // it may have run
+)
+
+// Reason says why a request got no answer from a target.
+type Reason string
+
+// Reasons beside those of the packages endpoint and region.
+const (
+	ReasonNoPlace     Reason = "noplace"     // no node owns a usable endpoint of the service
+	ReasonDeadline    Reason = "deadline"    // the time is up
+	ReasonUnreachable Reason = "unreachable" // no connection to the next hop
+	ReasonBroken      Reason = "broken"      // the next hop broke off
+	ReasonOversize    Reason = "oversize"    // the target's answer is too large
+	ReasonOwnerGone   Reason = "ownergone"   // the incarnation that owns the key is not there
+	ReasonExpired     Reason = "expired"     // the key is too old
+	ReasonSealed      Reason = "sealed"      // the key was refused before
+	ReasonMemory      Reason = "memory"      // no room for another once-only operation
+	ReasonDiffers     Reason = "differs"     // the key was used for another request
+	ReasonStarting    Reason = "starting"    // the node has no configuration yet
+	ReasonBudget      Reason = "budget"      // no retry left
+	ReasonShed        Reason = "shed"        // the target refused
+)
+
+// answer is a whole answer on its way to a caller.
+type answer struct {
+	outcome Outcome
+	reason  Reason
+	after   time.Duration // when to come back
+	status  int
+	header  http.Header
+	body    []byte
+}
+
+// Bounds of Retry-After.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+func notRun(r Reason, after time.Duration) answer {
+	return answer{outcome: OutcomeNotRun, reason: r, after: after, status: http.StatusServiceUnavailable}
+}
+
+func unknown(r Reason) answer {
+	status := http.StatusBadGateway
+	if r == ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return answer{outcome: OutcomeUnknown, reason: r, status: status}
+}
+
+// problem is the body of the system's own answers (RFC 9457).
+type problem struct {
+	Title  string  `json:"title"`
+	Status int     `json:"status"`
+	Detail string  `json:"detail,omitempty"`
+	Reason Reason  `json:"reason,omitempty"`
+	State  Outcome `json:"outcome,omitempty"`
+}
+
+// write sends an answer to a caller.
+func (a answer) write(w http.ResponseWriter) {
+	h := w.Header()
+	for k, v := range a.header {
+		h[k] = v
+	}
+	if a.outcome == OutcomeRan {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.body)
+		return
+	}
+	h.Set(HeaderOutcome, string(a.outcome))
+	h.Set(HeaderReason, string(a.reason))
+	h.Set("Retry-After", retryAfter(a.after))
+	writeProblem(w, problem{Title: "request not served", Status: a.status, Reason: a.reason, State: a.outcome})
+}
+
+// retryAfter spreads the callers that come back over twice the wait, so that
+// they do not come together. The header counts in whole seconds.
+func retryAfter(after time.Duration) string {
+	base := min(max(after, minRetryAfter), maxRetryAfter)
+	spread := base + rand.N(base+1)
+	return strconv.Itoa(int((spread + time.Second - 1) / time.Second))
+}
+
+func writeProblem(w http.ResponseWriter, p problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// writeError answers a request that is not acceptable. Nothing was run.
+func writeError(w http.ResponseWriter, err *Error) {
+	w.Header().Set(HeaderOutcome, string(OutcomeNotRun))
+	writeProblem(w, problem{Title: "bad request", Status: err.Status, Detail: err.Err.Error(), State: OutcomeNotRun})
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,128 @@
+package node
+
+// Requests between nodes: handing over to the owner of endpoints, and passing
+// an operation on to the incarnation that owns its key.
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+// Paths of the peer server.
+const (
+	pathHandOver      = "/handover"
+	pathBooking       = "/booking"
+	pathMember        = "/member"
+	pathConfiguration = "/configuration"
+)
+
+// headerAfter tells another node when to come back, in milliseconds.
+const headerAfter = "Wasabiwheel-After"
+
+// peerHandler serves other nodes.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(pathHandOver+servePrefix, n.peerRequest(pathHandOver, n.serveHere))
+	mux.Handle(pathBooking+servePrefix, n.peerRequest(pathBooking, n.book))
+	mux.HandleFunc(pathMember, n.acceptMember)
+	mux.HandleFunc(pathConfiguration, n.serveConfiguration)
+	return mux
+}
+
+// peerRequest adapts a way of serving to the protocol between nodes.
+func (n *Node) peerRequest(prefix string, serve func(context.Context, *request) answer) http.Handler {
+	return http.StripPrefix(prefix, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.config.Inventory() == nil {
+			notRun(ReasonStarting, time.Second).writePeer(w)
+			return
+		}
+		q, err := n.readRequest(w, r)
+		if err != nil {
+			answer{outcome: OutcomeNotRun, reason: ReasonUnreachable, status: err.Status}.writePeer(w)
+			return
+		}
+		serve(r.Context(), q).writePeer(w)
+	}))
+}
+
+// writePeer sends an answer to another node, with its outcome always stated.
+func (a answer) writePeer(w http.ResponseWriter) {
+	h := w.Header()
+	for k, v := range a.header {
+		h[k] = v
+	}
+	h.Set(HeaderOutcome, string(a.outcome))
+	h.Set(HeaderReason, string(a.reason))
+	h.Set(headerAfter, strconv.FormatInt(a.after.Milliseconds(), 10))
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
+
+// fromPeer reads the outcome that another node stated. An answer that states
+// none did not come from a node, so what it says is not known.
+func (a answer) fromPeer() answer {
+	if a.outcome != OutcomeRan {
+		return a
+	}
+	outcome := Outcome(a.header.Get(HeaderOutcome))
+	reason := Reason(a.header.Get(HeaderReason))
+	ms, _ := strconv.ParseInt(a.header.Get(headerAfter), 10, 32)
+	for _, h := range []string{HeaderOutcome, HeaderReason, headerAfter} {
+		a.header.Del(h)
+	}
+	switch outcome {
+	case OutcomeRan:
+		return a
+	case OutcomeNotRun:
+		refused := notRun(reason, time.Duration(ms)*time.Millisecond)
+		refused.status = a.status
+		return refused
+	case OutcomeUnknown:
+		return unknown(reason)
+	default:
+		return unknown(ReasonBroken)
+	}
+}
+
+// handOver asks the owner of endpoints to serve a request.
+func (n *Node) handOver(ctx context.Context, to inventory.EntryID, q *request) answer {
+	return n.toPeer(ctx, to, pathHandOver, q)
+}
+
+// passToOwner asks the incarnation that owns the key for the operation.
+func (n *Node) passToOwner(ctx context.Context, q *request) answer {
+	return n.toPeer(ctx, q.key.Entry, pathBooking, q)
+}
+
+func (n *Node) toPeer(ctx context.Context, to inventory.EntryID, path string, q *request) answer {
+	e, ok := n.config.Inventory().Entry(to)
+	if !ok {
+		return notRun(ReasonUnreachable, 0)
+	}
+	passed := *q
+	passed.header = q.header.Clone()
+	passed.header.Set(HeaderRegion, string(q.home))
+	url := "http://" + e.Peer + path + servePrefix + string(q.service.ID) + q.path
+	return send(ctx, n.peers, url, &passed).fromPeer()
+}
+
+// serveConfiguration gives another node the version in force.
+func (n *Node) serveConfiguration(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	b := n.config.Bundle()
+	if b.Head.Version == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(b)
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,87 @@
+package node
+
+// The settings of one node: what it must know before it can read anything.
+
+import (
+	"net"
+	"net/url"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+// Settings is what a node reads at its start.
+type Settings struct {
+	ID       inventory.EntryID  `toml:"id"`
+	Domain   inventory.DomainID `toml:"domain"`
+	Caller   string             `toml:"caller"`   // address for callers, host:port
+	Peer     string             `toml:"peer"`     // address for other nodes, host:port
+	Admin    string             `toml:"admin"`    // address for operators, host:port
+	Platform string             `toml:"platform"` // URL of the platform
+	// Bootstrap lists peer addresses to ask for the configuration while the
+	// platform does not answer.
+	Bootstrap []string `toml:"bootstrap"`
+}
+
+// ReadSettings reads and checks a settings file. It fails with an
+// *inventory.Error that names the file, the line and the key.
+func ReadSettings(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &inventory.Error{Op: "read", Kind: inventory.KindRead, File: file, Err: err}
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings checks settings given as TOML. The file name serves the errors
+// only. It fails with an *inventory.Error.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	var s Settings
+	lines, err := inventory.Decode(file, data, &s)
+	if err != nil {
+		return Settings{}, err
+	}
+	key, err := s.check()
+	if err != nil {
+		return Settings{}, &inventory.Error{Op: "check", Kind: inventory.KindRange, File: file, Line: lines[key], Key: key, Err: err}
+	}
+	return s, nil
+}
+
+// check returns the first fault with the key that it stands on.
+func (s Settings) check() (key string, err error) {
+	if s.ID == "" {
+		return "id", errors.New("id is missing")
+	}
+	if s.Domain == "" {
+		return "domain", errors.New("domain is missing")
+	}
+	if err := checkAddress(s.Caller); err != nil {
+		return "caller", err
+	}
+	if err := checkAddress(s.Peer); err != nil {
+		return "peer", err
+	}
+	if err := checkAddress(s.Admin); err != nil {
+		return "admin", err
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Scheme == "" || u.Host == "" {
+		return "platform", errors.Newf("%q is not a URL", s.Platform)
+	}
+	for _, b := range s.Bootstrap {
+		if err := checkAddress(b); err != nil {
+			return "bootstrap", err
+		}
+	}
+	return "", nil
+}
+
+func checkAddress(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return errors.Newf("%q is not an IP number with a port", addr)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/steer.go
@@ -0,0 +1,146 @@
+package node
+
+// Steering one request: choose a place, try it, and try another one while that
+// is safe and there is time.
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/region"
+)
+
+// maxAttempts bounds the places tried for one request.
+const maxAttempts = 3
+
+// steer serves a request at the best place. For an operation that may run at
+// most once it never tries again after an unknown outcome.
+func (n *Node) steer(ctx context.Context, q *request) answer {
+	last := notRun(ReasonNoPlace, 0)
+	places := n.regions.Order(n.settings.Domain, n.places(q.service.ID))
+	for i, p := range places {
+		if i == maxAttempts {
+			break
+		}
+		if i > 0 {
+			n.counters.retry(last.reason)
+		}
+		last = n.track(q, func() answer { return n.attempt(ctx, p, q) })
+		if !last.mayRetry(q) {
+			break
+		}
+	}
+	if last.outcome == OutcomeNotRun {
+		n.counters.refusal(last.reason)
+	}
+	return last
+}
+
+func (a answer) mayRetry(q *request) bool {
+	if a.outcome == OutcomeRan || time.Now().After(q.deadline) {
+		return false
+	}
+	return a.outcome == OutcomeNotRun || !q.once
+}
+
+// places lists the nodes that own endpoints of a service, this one among them.
+func (n *Node) places(id inventory.ServiceID) []region.Place {
+	inv := n.config.Inventory()
+	now := time.Now()
+	places := []region.Place{n.ownPlace(now, inv, id)}
+	for _, m := range n.members.Live(now) {
+		e, ok := inv.Entry(m.Entry)
+		if !ok || m.Leaving {
+			continue
+		}
+		for _, l := range m.Loads {
+			if l.Service == id {
+				places = append(places, region.Place{Entry: e.ID, Domain: e.Domain, Region: inv.RegionOf(e.Domain), Free: l.Free, Slots: l.Slots, Queue: l.Queue})
+			}
+		}
+	}
+	return places
+}
+
+func (n *Node) ownPlace(now time.Time, inv *inventory.Inventory, id inventory.ServiceID) region.Place {
+	p := region.Place{Entry: n.settings.ID, Domain: n.settings.Domain, Region: inv.RegionOf(n.settings.Domain)}
+	for _, l := range n.endpoints.Loads(now) {
+		if l.Service == id {
+			p.Free, p.Slots, p.Queue = l.Free, l.Slots, l.Queue
+		}
+	}
+	return p
+}
+
+// attempt tries one place.
+func (n *Node) attempt(ctx context.Context, p region.Place, q *request) answer {
+	move := region.Move{Service: q.service.ID, From: q.home, To: p.Region}
+	if r := n.regions.Take(time.Now(), move); r != nil {
+		return notRun(Reason(r.Reason), r.After)
+	}
+	if p.Entry == n.settings.ID {
+		return n.serveHere(ctx, q)
+	}
+	return n.handOver(ctx, p.Entry, q)
+}
+
+// serveHere serves a request at an endpoint that this node owns.
+func (n *Node) serveHere(ctx context.Context, q *request) answer {
+	v := n.endpoints.Admit(time.Now(), q.service.ID, q.deadline)
+	switch {
+	case v.Refusal != nil:
+		return notRun(Reason(v.Refusal.Reason), v.Refusal.After)
+	case v.Ticket != nil:
+		slot, ok := n.await(ctx, v.Ticket, q.deadline)
+		if !ok {
+			return notRun(ReasonDeadline, 0)
+		}
+		return n.sendToTarget(ctx, slot, q)
+	default:
+		return n.sendToTarget(ctx, *v.Slot, q)
+	}
+}
+
+// await waits for a slot until the deadline.
+func (n *Node) await(ctx context.Context, k *endpoint.Ticket, deadline time.Time) (endpoint.Slot, bool) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case s := <-k.Ready:
+		return s, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	n.endpoints.Cancel(time.Now(), k)
+	return endpoint.Slot{}, false
+}
+
+// sendToTarget runs a request at an endpoint. The slot stays occupied until
+// the request cannot be running there any more: when its answer is whole, or
+// else at its deadline, which the target knows.
+func (n *Node) sendToTarget(ctx context.Context, s endpoint.Slot, q *request) answer {
+	began := time.Now()
+	a := send(ctx, n.targets, "http://"+s.Address+q.path, q)
+	if a.outcome == OutcomeUnknown {
+		time.AfterFunc(time.Until(q.deadline), func() { n.endpoints.Release(time.Now(), s, 0) })
+		return a
+	}
+	n.endpoints.Release(time.Now(), s, time.Since(began))
+	return a
+}
+
+// newTransport returns a transport for one kind of next hop. Unused connections
+// are closed before a server is likely to close them, since a request that
+// meets a closing connection ends as unknown.
+func newTransport(over Network, perHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:         over.DialContext,
+		MaxConnsPerHost:     perHost,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/standin/network.go
@@ -0,0 +1,346 @@
+package standin
+
+// A network in memory, for tests in a synctest bubble: connections with delay
+// between VMs that can be cut off from each other and killed.
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Sizes of what a link holds under way.
+const (
+	segmentSize  = 32 << 10 // bytes
+	segmentsHeld = 4096     // per direction of a connection
+)
+
+// Path is the way from one VM to another, by their IP numbers.
+type Path struct{ From, To string }
+
+// Quality of a path. Loss is the probability that a segment is sent again,
+// which costs Resend.
+type Quality struct {
+	Delay  time.Duration // one way
+	Jitter time.Duration // added, evenly spread
+	Loss   float64
+	Resend time.Duration
+}
+
+// Network connects VMs. It is safe for concurrent use.
+type Network struct {
+	quality func(Path) Quality
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	listeners map[string]*listener // by address
+	conns     map[*link]bool
+	cut       map[Path]bool
+	healed    chan struct{} // closed and replaced at each change of cut
+}
+
+// NewNetwork returns a network with the quality that the function gives for
+// each path; nil means no delay. The seed decides jitter and loss.
+func NewNetwork(seed uint64, quality func(Path) Quality) *Network {
+	if quality == nil {
+		quality = func(Path) Quality { return Quality{} }
+	}
+	return &Network{
+		quality:   quality,
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		listeners: map[string]*listener{},
+		conns:     map[*link]bool{},
+		cut:       map[Path]bool{},
+		healed:    make(chan struct{}),
+	}
+}
+
+// VM is a VM's own view of the network.
+type VM struct {
+	network *Network
+	ip      string
+}
+
+// VM returns the view of the VM with an IP number.
+func (n *Network) VM(ip string) *VM { return &VM{network: n, ip: ip} }
+
+// Cut holds back whatever goes along a path, in that direction only.
+func (n *Network) Cut(p Path) { n.setCut(p, true) }
+
+// Heal undoes Cut; what was held back goes on.
+func (n *Network) Heal(p Path) { n.setCut(p, false) }
+
+func (n *Network) setCut(p Path, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[p] = cut
+	close(n.healed)
+	n.healed = make(chan struct{})
+}
+
+// Kill ends whatever listens or is connected at an IP number, as when a process
+// dies: its connections break and its addresses refuse new ones.
+func (n *Network) Kill(ip string) {
+	n.mu.Lock()
+	var broken []*link
+	for l := range n.conns {
+		if l.path.From == ip || l.path.To == ip {
+			broken = append(broken, l)
+		}
+	}
+	var closed []*listener
+	for _, l := range n.listeners {
+		if host(l.address) == ip {
+			closed = append(closed, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range closed {
+		_ = l.Close()
+	}
+	for _, l := range broken {
+		l.close()
+	}
+}
+
+func host(address string) string {
+	h, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return h
+}
+
+// Listen announces on an address of this VM.
+func (v *VM) Listen(network, address string) (net.Listener, error) {
+	n := v.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, taken := n.listeners[address]; taken {
+		return nil, &net.OpError{Op: "listen", Net: network, Err: syscall.EADDRINUSE}
+	}
+	l := &listener{network: n, address: address, accept: make(chan net.Conn), done: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// DialContext connects to an address. An address on which nobody listens
+// refuses, one behind a cut path does not answer.
+func (v *VM) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	n := v.network
+	path := Path{From: v.ip, To: host(address)}
+	if err := n.travel(ctx, path); err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if err := n.travel(ctx, Path{From: path.To, To: path.From}); err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	near, far := n.connect(path, address)
+	select {
+	case l.accept <- far:
+		return near, nil
+	case <-l.done:
+		_ = near.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	case <-ctx.Done():
+		_ = near.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
+}
+
+// travel waits as long as one segment takes along a path.
+func (n *Network) travel(ctx context.Context, p Path) error {
+	timer := time.NewTimer(n.delay(p))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for {
+		cut, healed := n.isCut(p)
+		if !cut {
+			return nil
+		}
+		select {
+		case <-healed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Network) isCut(p Path) (bool, chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[p], n.healed
+}
+
+func (n *Network) delay(p Path) time.Duration {
+	q := n.quality(p)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := q.Delay
+	if q.Jitter > 0 {
+		d += time.Duration(n.random.Int64N(int64(q.Jitter)))
+	}
+	for q.Loss > 0 && n.random.Float64() < q.Loss {
+		d += q.Resend
+	}
+	return d
+}
+
+// connect makes a connection whose two directions run on goroutines of their
+// own.
+func (n *Network) connect(p Path, address string) (near, far net.Conn) {
+	nearApp, nearNet := net.Pipe()
+	farApp, farNet := net.Pipe()
+	l := &link{network: n, path: p, near: nearNet, far: farNet, done: make(chan struct{})}
+	n.mu.Lock()
+	n.conns[l] = true
+	n.mu.Unlock()
+	l.pump(p, nearNet, farNet)
+	l.pump(Path{From: p.To, To: p.From}, farNet, nearNet)
+	return &conn{Conn: nearApp, local: p.From, remote: address}, &conn{Conn: farApp, local: address, remote: p.From}
+}
+
+// link is a connection under way.
+type link struct {
+	network   *Network
+	path      Path
+	near, far net.Conn
+	once      sync.Once
+	done      chan struct{}
+}
+
+type segment struct {
+	due  time.Time
+	data []byte
+}
+
+// pump carries one direction. Segments keep their order.
+func (l *link) pump(p Path, from, to net.Conn) {
+	held := make(chan segment, segmentsHeld)
+	go func() {
+		defer close(held)
+		buffer := make([]byte, segmentSize)
+		for {
+			size, err := from.Read(buffer)
+			if size > 0 {
+				data := append([]byte(nil), buffer[:size]...)
+				held <- segment{due: time.Now().Add(l.network.delay(p)), data: data}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	go func() {
+		for s := range held {
+			if !l.await(p, s.due) {
+				break
+			}
+			if _, err := to.Write(s.data); err != nil {
+				break
+			}
+		}
+		l.awaitEnd(p)
+		l.close()
+		for range held { // let the reader end
+		}
+	}()
+}
+
+// await waits until a segment is due and its path is open.
+func (l *link) await(p Path, due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.done:
+		return false
+	}
+	for {
+		cut, healed := l.network.isCut(p)
+		if !cut {
+			return true
+		}
+		select {
+		case <-healed:
+		case <-l.done:
+			return false
+		}
+	}
+}
+
+// awaitEnd lets the end of a direction travel as data does.
+func (l *link) awaitEnd(p Path) { l.await(p, time.Now().Add(l.network.quality(p).Delay)) }
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.done)
+		_ = l.near.Close()
+		_ = l.far.Close()
+		l.network.mu.Lock()
+		delete(l.network.conns, l)
+		l.network.mu.Unlock()
+	})
+}
+
+// conn gives a pipe the addresses of a TCP connection.
+type conn struct {
+	net.Conn
+	local, remote string
+}
+
+func (c *conn) LocalAddr() net.Addr  { return address(c.local) }
+func (c *conn) RemoteAddr() net.Addr { return address(c.remote) }
+
+// address is a net.Addr.
+type address string
+
+func (address) Network() string  { return "tcp" }
+func (a address) String() string { return string(a) }
+
+// listener is a net.Listener.
+type listener struct {
+	network *Network
+	address string
+	accept  chan net.Conn
+	once    sync.Once
+	done    chan struct{}
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.done:
+		return nil, io.EOF
+	}
+}
+
+// Close stops listening.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.address)
+		l.network.mu.Unlock()
+	})
+	return nil
+}
+
+// Addr returns the address listened on.
+func (l *listener) Addr() net.Addr { return address(l.address) }
--- /dev/null
+++ b/standin/target.go
@@ -0,0 +1,158 @@
+package standin
+
+// A target's endpoint that counts what it runs.
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Behaviour is how a target serves.
+type Behaviour struct {
+	Work     time.Duration `json:"work"`     // time that a request takes, in nanoseconds
+	Answer   int           `json:"answer"`   // bytes of an answer; 0: a short one
+	Truncate bool          `json:"truncate"` // break off in the middle of the answer
+	Stall    bool          `json:"stall"`    // stop in the middle of the answer
+	Shed     bool          `json:"shed"`     // refuse with 503
+}
+
+// Ledger is what a target has run.
+type Ledger struct {
+	Served int            `json:"served"`
+	Peak   int            `json:"peak"` // most requests at the same time
+	Busy   int            `json:"busy"`
+	Keys   map[string]int `json:"keys"` // times that each Idempotency-Key ran
+}
+
+// Target is a stand-in for one endpoint. It is an http.Handler and is safe for
+// concurrent use. Under /ledger it tells what it has run, under /behaviour it
+// takes orders, and under /load it reports its load.
+type Target struct {
+	name string
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	ledger    Ledger
+}
+
+// NewTarget returns a target that answers with its name.
+func NewTarget(name string, b Behaviour) *Target {
+	return &Target{name: name, behaviour: b, ledger: Ledger{Keys: map[string]int{}}}
+}
+
+// SetBehaviour changes how the target serves.
+func (t *Target) SetBehaviour(b Behaviour) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.behaviour = b
+}
+
+// Ledger returns a copy of what the target has run.
+func (t *Target) Ledger() Ledger {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.ledger
+	l.Keys = map[string]int{}
+	for k, n := range t.ledger.Keys {
+		l.Keys[k] = n
+	}
+	return l
+}
+
+// ServeHTTP serves one request.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/ledger":
+		_ = json.NewEncoder(w).Encode(t.Ledger())
+	case "/behaviour":
+		t.serveBehaviour(w, r)
+	case "/load":
+		_ = json.NewEncoder(w).Encode(t.Ledger().Busy)
+	default:
+		t.serve(w, r)
+	}
+}
+
+func (t *Target) serveBehaviour(w http.ResponseWriter, r *http.Request) {
+	var b Behaviour
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxValue)).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.SetBehaviour(b)
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b, ok := t.start(r.Header.Get("Idempotency-Key"))
+	defer t.end()
+	if !ok {
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	if !pause(r.Context(), b.Work) {
+		return
+	}
+	t.answer(w, r, b, body)
+}
+
+func (t *Target) start(key string) (Behaviour, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Busy++
+	t.ledger.Peak = max(t.ledger.Peak, t.ledger.Busy)
+	if t.behaviour.Shed {
+		return t.behaviour, false
+	}
+	t.ledger.Served++
+	if key != "" {
+		t.ledger.Keys[key]++
+	}
+	return t.behaviour, true
+}
+
+func (t *Target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Busy--
+}
+
+// Echo is the answer of a target: what it was asked, so that a caller can tell
+// its own answer from another's.
+type Echo struct {
+	Target string `json:"target"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key"`
+	Body   string `json:"body"`
+	Fill   string `json:"fill"`
+}
+
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, b Behaviour, body []byte) {
+	echo := Echo{Target: t.name, Method: r.Method, Path: r.URL.RequestURI(), Key: r.Header.Get("Idempotency-Key"), Body: string(body)}
+	echo.Fill = strings.Repeat("-", b.Answer)
+	data, err := json.Marshal(echo)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if !b.Truncate && !b.Stall {
+		_, _ = w.Write(data)
+		return
+	}
+	_, _ = w.Write(data[:len(data)/2])
+	_ = http.NewResponseController(w).Flush()
+	if b.Stall {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
