--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -4,6 +4,7 @@
 // caller that asks any node and then uses the one it is told.
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -78,7 +79,25 @@
 	}
 }
 
-const processPlatform = "127.30.0.1:9000"
+// subnet begins all addresses of this run, so that several runs can go on at
+// the same time on one machine.
+var subnet = fmt.Sprintf("127.%d.", 30+os.Getpid()%200)
+
+var processPlatform = subnet + "0.1:9000"
+
+// localInventory copies an inventory of testdata to the addresses of this run.
+func localInventory(t *testing.T, file string) string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	local := filepath.Join(t.TempDir(), filepath.Base(file))
+	if err := os.WriteFile(local, bytes.ReplaceAll(text, []byte("127.30."), []byte(subnet)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return local
+}
 
 // writeSettings writes the settings of each entry VM and returns the files.
 func writeSettings(t *testing.T, inv *inventory.Inventory) []string {
@@ -99,6 +118,7 @@
 // startSystem starts everything and waits until all slots have an owner.
 func startSystem(t *testing.T, file string) (*inventory.Inventory, []*exec.Cmd) {
 	t.Helper()
+	file = localInventory(t, file)
 	inv, err := inventory.Read(file)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/wasabiwheel/try.go
+++ b/cmd/wasabiwheel/try.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -28,13 +29,23 @@
 )
 
 const (
-	tryPlatform = "127.20.0.1:9000"
 	tryReady    = 15 * time.Second // for the nodes to own their endpoints
 	tryPoll     = 100 * time.Millisecond
 	tryWork     = 10 * time.Millisecond
 	tryMaxTime  = 10_000_000 // microseconds, of the histogram
 )
 
+// trySubnet begins all addresses of this run, so that several runs can go on at
+// the same time on one machine.
+var trySubnet = fmt.Sprintf("127.%d.", 30+os.Getpid()%200)
+
+var tryPlatform = trySubnet + "0.1:9000"
+
+// tryInventory is the Lumbre example on the addresses of this run.
+func tryInventory() []byte {
+	return bytes.ReplaceAll(examples.Lumbre, []byte("127.20."), []byte(trySubnet))
+}
+
 type tryCommand struct {
 	Desks    int `long:"desks" default:"12" description:"callers"`
 	Requests int `long:"requests" default:"50" description:"requests of each caller; each fifth is a reservation"`
@@ -68,7 +79,7 @@
 }
 
 func newTrial(ctx context.Context) (*trial, error) {
-	inv, err := inventory.Parse("lumbre.toml", examples.Lumbre)
+	inv, err := inventory.Parse("lumbre.toml", tryInventory())
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +98,7 @@
 		return nil, err
 	}
 	store := platform.New(platform.Options{Base: "http://" + tryPlatform})
-	if _, err := configuration.Publish(ctx, store, configuration.Change{Text: examples.Lumbre, Author: "try"}); err != nil {
+	if _, err := configuration.Publish(ctx, store, configuration.Change{Text: tryInventory(), Author: "try"}); err != nil {
 		return nil, err
 	}
 	t.startNodes(ctx)
