--- a/cmd/wasabiwheel/try.go
+++ b/cmd/wasabiwheel/try.go
@@ -29,10 +29,10 @@
 )
 
 const (
-	tryReady    = 15 * time.Second // for the nodes to own their endpoints
-	tryPoll     = 100 * time.Millisecond
-	tryWork     = 10 * time.Millisecond
-	tryMaxTime  = 10_000_000 // microseconds, of the histogram
+	tryReady   = 15 * time.Second // for the nodes to own their endpoints
+	tryPoll    = 100 * time.Millisecond
+	tryWork    = 10 * time.Millisecond
+	tryMaxTime = 10_000_000 // microseconds, of the histogram
 )
 
 // trySubnet begins all addresses of this run, so that several runs can go on at
