Callers' client and a load command

Cause: try had its own copy of how a caller behaves, and nothing measured load. Package caller asks, caches and goes on to the next entry VM with one key; try and load use it.

--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,250 @@
+// Package caller is the callers' side of the system: it asks any node which
+// entry VMs to use, keeps the answer for as long as it may, sends requests
+// there, and goes on to the next entry VM when one breaks off.
+//
+// An operation that may run at most once gets a key from the look-up's token.
+// The same key goes to every entry VM that is tried, so that a repeat cannot
+// run it again. A request that was answered "not run" is not sent again; Reply
+// says when to come back.
+//
+// # Usage
+//
+//	c := caller.New(caller.Options{Nodes: []string{"127.0.0.1:7000"}, Block: "desk-1"})
+//	r, err := c.Call(ctx, caller.Operation{Service: "reservations", Method: "POST", Path: "/lamps/7", Once: true})
+//	if err == nil && r.Outcome == node.OutcomeRan {
+//		use(r.Body)
+//	}
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/lookup"
+	"github.com/wasabiwheel/wasabiwheel/node"
+)
+
+// Bounds of a client.
+const (
+	lookupTimeout = time.Second
+	maxTries      = 3       // entry VMs for one operation
+	maxReply      = 8 << 20 // bytes
+)
+
+// Options configures a Client. Nodes is required.
+type Options struct {
+	Nodes  []string // caller addresses of nodes to ask, in order
+	Block  inventory.BlockID
+	Region inventory.RegionID
+	HTTP   *http.Client // nil: http.DefaultClient
+}
+
+// Operation is what a caller wants done.
+type Operation struct {
+	Service inventory.ServiceID
+	Method  string
+	Path    string // with a leading slash
+	Body    []byte
+	Timeout time.Duration // 0: the service's deadline
+	Once    bool          // may run at most once
+}
+
+// Reply is what became of an operation.
+type Reply struct {
+	Outcome node.Outcome
+	Reason  node.Reason
+	Status  int
+	Header  http.Header
+	Body    []byte
+	After   time.Duration // when to come back, with an outcome other than "ran"
+	Entry   inventory.EntryID
+	Key     string
+	Tries   int
+}
+
+// Client is one caller. It is safe for concurrent use.
+type Client struct {
+	options Options
+
+	mu    sync.Mutex
+	known map[inventory.ServiceID]cached
+}
+
+// cached is a look-up's answer and the time until which it may be used.
+type cached struct {
+	answer lookup.Answer
+	until  time.Time
+}
+
+// New returns a client that has asked nothing yet.
+func New(o Options) *Client {
+	if o.HTTP == nil {
+		o.HTTP = http.DefaultClient
+	}
+	return &Client{options: o, known: map[inventory.ServiceID]cached{}}
+}
+
+// Lookup returns the entry VMs to use for a service, from the cache while that
+// is allowed. It fails with KindLookup.
+func (c *Client) Lookup(ctx context.Context, service inventory.ServiceID) (lookup.Answer, error) {
+	if a, ok := c.cachedAnswer(service); ok {
+		return a, nil
+	}
+	last := errors.New("no node to ask")
+	for _, address := range c.ask(service) {
+		a, err := c.lookupAt(ctx, address, service)
+		if err == nil {
+			c.keep(service, a)
+			return a, nil
+		}
+		last = err
+	}
+	return lookup.Answer{}, &Error{Op: "lookup", Kind: KindLookup, Err: last}
+}
+
+func (c *Client) cachedAnswer(service inventory.ServiceID) (lookup.Answer, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k, ok := c.known[service]
+	return k.answer, ok && time.Now().Before(k.until)
+}
+
+func (c *Client) keep(service inventory.ServiceID, a lookup.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ttl := time.Duration(a.TTL * float64(time.Second))
+	c.known[service] = cached{answer: a, until: time.Now().Add(ttl)}
+}
+
+// forget drops an answer whose entry VM broke off. Its addresses stay known as
+// nodes to ask.
+func (c *Client) forget(service inventory.ServiceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.known[service]
+	k.until = time.Time{}
+	c.known[service] = k
+}
+
+// ask lists the nodes to ask: those of the last answer, then the configured.
+func (c *Client) ask(service inventory.ServiceID) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []string
+	for _, e := range c.known[service].answer.Entries {
+		all = append(all, e.Address)
+	}
+	return append(all, c.options.Nodes...)
+}
+
+func (c *Client) lookupAt(ctx context.Context, address string, service inventory.ServiceID) (lookup.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	query := url.Values{"service": {string(service)}, "block": {string(c.options.Block)}, "region": {string(c.options.Region)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/lookup?"+query.Encode(), nil)
+	if err != nil {
+		return lookup.Answer{}, err
+	}
+	resp, err := c.options.HTTP.Do(req)
+	if err != nil {
+		return lookup.Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return lookup.Answer{}, errors.Newf("%s: %s", address, resp.Status)
+	}
+	var a lookup.Answer
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&a)
+	if err == nil && len(a.Entries) == 0 {
+		err = errors.Newf("%s names no entry VM", address)
+	}
+	return a, err
+}
+
+// Call has an operation done. It fails with KindLookup, when nothing was sent,
+// or KindBroken, when no entry VM gave a whole answer and the operation may
+// have run.
+func (c *Client) Call(ctx context.Context, op Operation) (Reply, error) {
+	a, err := c.Lookup(ctx, op.Service)
+	if err != nil {
+		return Reply{}, err
+	}
+	key := ""
+	if op.Once {
+		key = a.Entries[0].Token + "~" + rand.Text()
+	}
+	var last error
+	for i, e := range a.Entries[:min(maxTries, len(a.Entries))] {
+		r, err := c.callAt(ctx, e, op, key)
+		if err == nil {
+			r.Tries = i + 1
+			return r, nil
+		}
+		last = err
+		c.forget(op.Service)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return Reply{Key: key}, &Error{Op: "call", Kind: KindBroken, Err: last}
+}
+
+func (c *Client) callAt(ctx context.Context, e lookup.Entry, op Operation, key string) (Reply, error) {
+	address := "http://" + e.Address + "/serve/" + string(op.Service) + op.Path
+	req, err := http.NewRequestWithContext(ctx, op.Method, address, bytes.NewReader(op.Body))
+	if err != nil {
+		return Reply{}, err
+	}
+	c.setHeader(req.Header, op, key)
+	resp, err := c.options.HTTP.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return Reply{}, err
+	}
+	r := Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Entry: e.ID, Key: key}
+	r.readOutcome(resp.Header)
+	return r, nil
+}
+
+func (c *Client) setHeader(h http.Header, op Operation, key string) {
+	h.Set(node.HeaderBlock, string(c.options.Block))
+	if c.options.Region != "" {
+		h.Set(node.HeaderRegion, string(c.options.Region))
+	}
+	if key != "" {
+		h.Set(node.HeaderKey, key)
+	}
+	if op.Timeout > 0 {
+		h.Set(node.HeaderTimeout, strconv.FormatInt(op.Timeout.Milliseconds(), 10))
+	}
+}
+
+// readOutcome reads what the system says of a request; a target's own answer
+// carries no outcome.
+func (r *Reply) readOutcome(h http.Header) {
+	r.Outcome = node.Outcome(h.Get(node.HeaderOutcome))
+	if r.Outcome == "" {
+		r.Outcome = node.OutcomeRan
+		return
+	}
+	r.Reason = node.Reason(h.Get(node.HeaderReason))
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err == nil {
+		r.After = time.Duration(seconds) * time.Second
+	}
+}
--- a/cmd/wasabiwheel/error.go
+++ b/cmd/wasabiwheel/error.go
@@ -1,5 +1,7 @@
 package main
 
+import "github.com/cockroachdb/errors"
+
 // Kind classifies an Error.
 type Kind string
 
@@ -7,6 +9,7 @@
 const (
 	KindNetwork Kind = "network" // something could not be reached
 	KindAnswer  Kind = "answer"  // something answered unexpectedly
+	KindUsage   Kind = "usage"   // flags that do not go together
 	KindFailed  Kind = "failed"  // what was to be shown did not happen
 )
 
@@ -22,3 +25,6 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// errNoBuildInfo says that the program was built without module support.
+var errNoBuildInfo = errors.New("the build recorded no version")
--- /dev/null
+++ b/cmd/wasabiwheel/load.go
@@ -0,0 +1,192 @@
+package main
+
+// The command that puts load on nodes, or on one target as a baseline, with
+// arrivals that do not wait for answers.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiwheel/wasabiwheel/caller"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/node"
+)
+
+const (
+	loadMaxTime = 60_000_000 // microseconds, of the histogram
+	loadDigits  = 3          // of precision of the histogram
+	loadConns   = 512        // kept connections to one address
+)
+
+type loadCommand struct {
+	Node     []string      `long:"node" value-name:"ADDRESS" description:"caller address of a node to ask (may be repeated)"`
+	Target   string        `long:"target" value-name:"ADDRESS" description:"send straight to this target instead, as a baseline"`
+	Service  string        `long:"service" default:"catalogue" description:"service of the idempotent requests"`
+	Once     string        `long:"once" value-name:"SERVICE" description:"service of the once-only requests"`
+	Share    float64       `long:"share" default:"0" description:"share of once-only requests, 0 to 1"`
+	Rate     float64       `long:"rate" default:"100" description:"requests per second"`
+	Duration time.Duration `long:"duration" default:"5s" description:"how long to send"`
+	Timeout  time.Duration `long:"timeout" default:"2s" description:"of each request"`
+	Region   string        `long:"region" description:"the callers' region"`
+	JSON     bool          `long:"json" description:"print JSON"`
+}
+
+// loadReport is the result of a run. Times are in milliseconds.
+type loadReport struct {
+	Sent     int            `json:"sent"`
+	Outcomes map[string]int `json:"outcomes"`
+	Goodput  float64        `json:"goodput"` // answered requests per second
+	P50      float64        `json:"p50"`
+	P90      float64        `json:"p90"`
+	P99      float64        `json:"p99"`
+	P999     float64        `json:"p999"`
+	Max      float64        `json:"max"`
+}
+
+// loader is one run.
+type loader struct {
+	command *loadCommand
+	client  *caller.Client
+	http    *http.Client
+
+	mu       sync.Mutex
+	times    *hdrhistogram.Histogram // microseconds
+	outcomes map[string]int
+}
+
+// Execute runs the load and prints what was measured.
+func (c *loadCommand) Execute([]string) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: loadConns}
+	client := &http.Client{Transport: transport}
+	l := &loader{
+		command:  c,
+		http:     client,
+		client:   caller.New(caller.Options{Nodes: c.Node, Region: inventory.RegionID(c.Region), HTTP: client}),
+		times:    hdrhistogram.New(1, loadMaxTime, loadDigits),
+		outcomes: map[string]int{},
+	}
+	return l.print(l.run())
+}
+
+func (c *loadCommand) check() error {
+	switch {
+	case (len(c.Node) == 0) == (c.Target == ""):
+		return &Error{Op: "load", Kind: KindUsage, Err: errors.New("give either --node or --target")}
+	case c.Rate <= 0 || c.Share < 0 || c.Share > 1:
+		return &Error{Op: "load", Kind: KindUsage, Err: errors.New("--rate must be above 0 and --share from 0 to 1")}
+	case c.Share > 0 && c.Once == "":
+		return &Error{Op: "load", Kind: KindUsage, Err: errors.New("--share needs --once")}
+	default:
+		return nil
+	}
+}
+
+// run sends at the given rate, however long the answers take, and returns how
+// many were sent.
+func (l *loader) run() int {
+	var wait sync.WaitGroup
+	gap := time.Duration(float64(time.Second) / l.command.Rate)
+	begin := time.Now()
+	total := int(l.command.Duration.Seconds() * l.command.Rate)
+	for i := range total {
+		due := begin.Add(time.Duration(i) * gap)
+		time.Sleep(time.Until(due))
+		wait.Go(func() { l.one(i, due) })
+	}
+	wait.Wait()
+	return total
+}
+
+// one sends a request and counts its time from when it was due, so that a
+// late start counts too.
+func (l *loader) one(i int, due time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.command.Timeout)
+	defer cancel()
+	outcome := l.send(ctx, i)
+	took := time.Since(due)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes[outcome]++
+	if outcome == string(node.OutcomeRan) {
+		_ = l.times.RecordValue(min(took.Microseconds(), loadMaxTime))
+	}
+}
+
+func (l *loader) send(ctx context.Context, i int) string {
+	path := fmt.Sprintf("/load/%d", i)
+	if l.command.Target != "" {
+		return l.sendStraight(ctx, path)
+	}
+	op := caller.Operation{Service: inventory.ServiceID(l.command.Service), Method: http.MethodGet, Path: path, Timeout: l.command.Timeout}
+	if isOnce(i, l.command.Share) {
+		op.Service, op.Method, op.Once = inventory.ServiceID(l.command.Once), http.MethodPost, true
+	}
+	r, err := l.client.Call(ctx, op)
+	switch {
+	case err != nil:
+		return "broken"
+	case r.Outcome == node.OutcomeRan:
+		return string(r.Outcome)
+	default:
+		return string(r.Outcome) + " " + string(r.Reason)
+	}
+}
+
+// isOnce spreads the once-only requests evenly over all.
+func isOnce(i int, share float64) bool { return int(float64(i+1)*share) > int(float64(i)*share) }
+
+func (l *loader) sendStraight(ctx context.Context, path string) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.command.Target+path, nil)
+	if err != nil {
+		return "broken"
+	}
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return "broken"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return resp.Status
+	}
+	return string(node.OutcomeRan)
+}
+
+func (l *loader) print(sent int) error {
+	millis := func(q float64) float64 { return float64(l.times.ValueAtQuantile(q)) / 1000 }
+	r := loadReport{
+		Sent:     sent,
+		Outcomes: l.outcomes,
+		Goodput:  float64(l.outcomes[string(node.OutcomeRan)]) / l.command.Duration.Seconds(),
+		P50:      millis(50), P90: millis(90), P99: millis(99), P999: millis(99.9),
+		Max: float64(l.times.Max()) / 1000,
+	}
+	if l.command.JSON {
+		return json.NewEncoder(output).Encode(r)
+	}
+	fmt.Fprintf(output, "sent %d, answered %.1f/s\n", r.Sent, r.Goodput)
+	fmt.Fprintf(output, "latency in ms: p50 %.2f, p90 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n", r.P50, r.P90, r.P99, r.P999, r.Max)
+	for _, o := range sortedKeys(r.Outcomes) {
+		fmt.Fprintf(output, "%s: %d\n", o, r.Outcomes[o])
+	}
+	return nil
+}
+
+func sortedKeys(m map[string]int) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/cmd/wasabiwheel/main.go
+++ b/cmd/wasabiwheel/main.go
@@ -35,7 +35,9 @@
 	Check   checkCommand   `command:"check" description:"check settings and inventory files"`
 	Lookup  lookupCommand  `command:"lookup" description:"ask a node which entry VMs to use"`
 	Status  statusCommand  `command:"status" description:"read the status of nodes"`
+	Load    loadCommand    `command:"load" description:"put load on nodes and measure"`
 	Standin standinCommand `command:"standin" description:"run stand-ins of the platform and of targets, for trials"`
+	Version versionCommand `command:"version" description:"print the version"`
 	Try     tryCommand     `command:"try" description:"run the whole path in one process on stand-ins"`
 }
 
@@ -55,7 +57,7 @@
 	var usage *flags.Error
 	if !errors.As(err, &usage) {
 		fmt.Fprintln(os.Stderr, "wasabiwheel:", err)
-		return exitFailed
+		return exitCode(err)
 	}
 	if usage.Type == flags.ErrHelp {
 		fmt.Fprintln(output, usage.Message)
@@ -64,3 +66,12 @@
 	fmt.Fprintln(os.Stderr, "wasabiwheel:", usage.Message)
 	return exitUsage
 }
+
+// exitCode tells flags that do not go together from a failure.
+func exitCode(err error) int {
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindUsage {
+		return exitUsage
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/wasabiwheel/main_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// runBinary returns the exit code and what was printed.
+func runBinary(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, err bytes.Buffer
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = &out, &err
+	var exit *exec.ExitError
+	if e := cmd.Run(); errors.As(e, &exit) {
+		code = exit.ExitCode()
+	} else if e != nil {
+		t.Fatal(e)
+	}
+	return code, out.String(), err.String()
+}
+
+func TestExitCodesAndStreams(t *testing.T) {
+	cases := map[string]struct {
+		args   []string
+		code   int
+		stdout string
+		stderr string
+	}{
+		"help":                {args: []string{"--help"}, code: 0, stdout: "Usage:"},
+		"help of a command":   {args: []string{"load", "--help"}, code: 0, stdout: "--rate"},
+		"version":             {args: []string{"version"}, code: 0, stdout: "wasabiwheel"},
+		"no command":          {args: nil, code: exitUsage, stderr: "command"},
+		"unknown command":     {args: []string{"steer"}, code: exitUsage, stderr: "steer"},
+		"unknown flag":        {args: []string{"try", "--speed", "9"}, code: exitUsage, stderr: "speed"},
+		"flags that clash":    {args: []string{"load", "--node", "127.0.0.1:1", "--target", "127.0.0.1:1"}, code: exitUsage, stderr: "either"},
+		"missing flag":        {args: []string{"lookup"}, code: exitUsage, stderr: "node"},
+		"nobody answers":      {args: []string{"status", "--admin", "127.0.0.1:1"}, code: exitFailed, stderr: "refused"},
+		"file does not exist": {args: []string{"check", "--inventory", "no.toml"}, code: exitFailed, stderr: "no.toml"},
+		"inventory is fine":   {args: []string{"check", "--inventory", "../../examples/lumbre.toml"}, code: 0, stdout: "ok"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("The command line gives the right code on the right stream", t, func() {
+				code, stdout, stderr := runBinary(t, c.args...)
+				convey.So(code, convey.ShouldEqual, c.code)
+				convey.So(stdout, convey.ShouldContainSubstring, c.stdout)
+				convey.So(stderr, convey.ShouldContainSubstring, c.stderr)
+				if c.stdout == "" {
+					convey.So(strings.TrimSpace(stdout), convey.ShouldBeEmpty)
+				}
+			})
+		})
+	}
+}
--- a/cmd/wasabiwheel/try.go
+++ b/cmd/wasabiwheel/try.go
@@ -6,23 +6,20 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"github.com/wasabiwheel/wasabiwheel/caller"
 	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/examples"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
-	"github.com/wasabiwheel/wasabiwheel/lookup"
 	"github.com/wasabiwheel/wasabiwheel/node"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/standin"
@@ -167,58 +164,40 @@
 const reservationEvery = 5
 
 func (t *trial) runDesk(block inventory.BlockID, requests int) {
+	desk := caller.New(caller.Options{Nodes: []string{t.inv.Entries[0].Caller}, Block: block})
 	for i := range requests {
-		service := "catalogue"
+		op := caller.Operation{Service: "catalogue", Method: http.MethodGet}
 		if i%reservationEvery == 0 {
-			service = "reservations"
+			op = caller.Operation{Service: "reservations", Method: http.MethodPost, Once: true}
 		}
-		var a lookup.Answer
-		ask := fmt.Sprintf("http://%s/lookup?service=%s&block=%s", t.inv.Entries[0].Caller, service, block)
-		if err := getJSON(ask, &a); err != nil || len(a.Entries) == 0 {
-			t.note("no look-up", "", "", 0)
-			continue
-		}
-		t.request(a.Entries[0], service, block, i)
+		op.Body = []byte(fmt.Sprintf("%s-%d", block, i))
+		op.Path = "/lamps/" + string(op.Body)
+		t.request(desk, op)
 	}
 }
 
-func (t *trial) request(e lookup.Entry, service string, block inventory.BlockID, i int) {
-	method, key := http.MethodGet, ""
-	if service == "reservations" {
-		method, key = http.MethodPost, e.Token+"~"+rand.Text()
-	}
-	body := fmt.Sprintf("%s-%d", block, i)
-	req, err := http.NewRequest(method, "http://"+e.Address+"/serve/"+service+"/lamps/"+body, strings.NewReader(body))
-	if err != nil {
-		t.note(err.Error(), "", "", 0)
-		return
-	}
-	req.Header.Set(node.HeaderBlock, string(block))
-	if key != "" {
-		req.Header.Set(node.HeaderKey, key)
-	}
+func (t *trial) request(desk *caller.Client, op caller.Operation) {
 	began := time.Now()
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.note("broken", "", "", time.Since(began))
-		return
+	r, err := desk.Call(context.Background(), op)
+	took := time.Since(began)
+	switch {
+	case err != nil:
+		t.note(err.Error(), "", "", took)
+	case r.Outcome != node.OutcomeRan:
+		t.note(string(r.Outcome)+" ("+string(r.Reason)+")", "", "", took)
+	default:
+		t.noteAnswer(r, string(op.Body), took)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	t.noteAnswer(resp, body, key, time.Since(began))
 }
 
-func (t *trial) noteAnswer(resp *http.Response, body, key string, took time.Duration) {
-	if o := resp.Header.Get(node.HeaderOutcome); o != "" {
-		t.note(o+" ("+resp.Header.Get(node.HeaderReason)+")", "", "", took)
-		return
-	}
+// noteAnswer checks that a desk got the answer to its own request.
+func (t *trial) noteAnswer(r caller.Reply, body string, took time.Duration) {
 	var echo standin.Echo
-	data, err := io.ReadAll(resp.Body)
-	if err != nil || json.NewDecoder(bytes.NewReader(data)).Decode(&echo) != nil || echo.Body != body {
+	if json.Unmarshal(r.Body, &echo) != nil || echo.Body != body {
 		t.note("wrong answer", "", "", took)
 		return
 	}
-	t.note("served", echo.Target, key, took)
+	t.note("served", echo.Target, r.Key, took)
 }
 
 func (t *trial) note(outcome, target, key string, took time.Duration) {
@@ -244,8 +223,8 @@
 			return &Error{Op: "try", Kind: KindFailed, Err: errors.Newf("%s had %d requests in %d slots", e.ID, l.Peak, e.Slots)}
 		}
 	}
-	for o, count := range t.outcomes {
-		fmt.Fprintf(output, "%s: %d\n", o, count)
+	for _, o := range sortedKeys(t.outcomes) {
+		fmt.Fprintf(output, "%s: %d\n", o, t.outcomes[o])
 	}
 	fmt.Fprintf(output, "latency: p50 %.1f ms, p99 %.1f ms, max %.1f ms\n",
 		float64(t.times.ValueAtQuantile(50))/1000, float64(t.times.ValueAtQuantile(99))/1000, float64(t.times.Max())/1000)
--- /dev/null
+++ b/cmd/wasabiwheel/version.go
@@ -0,0 +1,20 @@
+package main
+
+// The query for the program's version.
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+type versionCommand struct{}
+
+// Execute prints the version that the build recorded.
+func (c *versionCommand) Execute([]string) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return &Error{Op: "version", Kind: KindFailed, Err: errNoBuildInfo}
+	}
+	fmt.Fprintf(output, "wasabiwheel %s %s\n", info.Main.Version, info.GoVersion)
+	return nil
+}
