--- a/standin/target.go
+++ b/standin/target.go
@@ -3,13 +3,17 @@
 // A target's endpoint that counts what it runs.
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Behaviour is how a target serves.
@@ -19,13 +23,22 @@
 	Truncate bool          `json:"truncate"` // break off in the middle of the answer
 	Stall    bool          `json:"stall"`    // stop in the middle of the answer
 	Shed     bool          `json:"shed"`     // refuse with 503
+	Spread   time.Duration `json:"spread"`   // mean of an exponential addition to Work, in nanoseconds
+	Slots    int           `json:"slots"`    // requests worked on at once, others wait; 0: all
+	Backlog  int           `json:"backlog"`  // requests that may wait, others are refused with 503; 0: all
+	Cold     int           `json:"cold"`     // first requests that take ColdFactor times as long
+	Mislead  bool          `json:"mislead"`  // report no load whatever there is
 }
 
+// ColdFactor is how much longer a request takes on a cold cache.
+const ColdFactor = 4
+
 // Ledger is what a target has run.
 type Ledger struct {
 	Served int            `json:"served"`
 	Peak   int            `json:"peak"` // most requests at the same time
 	Busy   int            `json:"busy"`
+	Shed   int            `json:"shed"` // requests refused
 	Keys   map[string]int `json:"keys"` // times that each Idempotency-Key ran
 }
 
@@ -38,11 +51,21 @@
 	mu        sync.Mutex
 	behaviour Behaviour
 	ledger    Ledger
+	random    *rand.Rand
+	freed     chan struct{} // closed and replaced when work ends
+	working   int
 }
 
 // NewTarget returns a target that answers with its name.
 func NewTarget(name string, b Behaviour) *Target {
-	return &Target{name: name, behaviour: b, ledger: Ledger{Keys: map[string]int{}}}
+	seed := xxhash.Sum64String(name)
+	return &Target{
+		name:      name,
+		behaviour: b,
+		ledger:    Ledger{Keys: map[string]int{}},
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		freed:     make(chan struct{}),
+	}
 }
 
 // SetBehaviour changes how the target serves.
@@ -72,7 +95,7 @@
 	case "/behaviour":
 		t.serveBehaviour(w, r)
 	case "/load":
-		_ = json.NewEncoder(w).Encode(t.Ledger().Busy)
+		_ = json.NewEncoder(w).Encode(t.Load())
 	default:
 		t.serve(w, r)
 	}
@@ -98,7 +121,7 @@
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
-	if !pause(r.Context(), b.Work) {
+	if !t.work(r.Context(), b) {
 		return
 	}
 	t.answer(w, r, b, body)
@@ -109,8 +132,11 @@
 	defer t.mu.Unlock()
 	t.ledger.Busy++
 	t.ledger.Peak = max(t.ledger.Peak, t.ledger.Busy)
-	if t.behaviour.Shed {
-		return t.behaviour, false
+	b := t.behaviour
+	full := b.Backlog > 0 && t.ledger.Busy > b.Slots+b.Backlog
+	if b.Shed || full {
+		t.ledger.Shed++
+		return b, false
 	}
 	t.ledger.Served++
 	if key != "" {
@@ -125,6 +151,66 @@
 	t.ledger.Busy--
 }
 
+// Load is what the target reports of its requests.
+func (t *Target) Load() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.behaviour.Mislead {
+		return 0
+	}
+	return t.ledger.Busy
+}
+
+// work takes a slot, if they are bounded, and the time of one request. It
+// reports whether the sender is still there.
+func (t *Target) work(ctx context.Context, b Behaviour) bool {
+	for b.Slots > 0 && !t.enter(b.Slots) {
+		select {
+		case <-t.freeing():
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if b.Slots > 0 {
+		defer t.leave()
+	}
+	return pause(ctx, t.duration(b))
+}
+
+func (t *Target) enter(slots int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.working >= slots {
+		return false
+	}
+	t.working++
+	return true
+}
+
+func (t *Target) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.working--
+	close(t.freed)
+	t.freed = make(chan struct{})
+}
+
+func (t *Target) freeing() chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.freed
+}
+
+func (t *Target) duration(b Behaviour) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := b.Work + time.Duration(t.random.ExpFloat64()*float64(b.Spread))
+	if t.ledger.Served <= b.Cold {
+		d *= ColdFactor
+	}
+	return d
+}
+
 // Echo is the answer of a target: what it was asked, so that a caller can tell
 // its own answer from another's.
 type Echo struct {
