--- a/caller/caller.go
+++ b/caller/caller.go
@@ -11,7 +11,7 @@
 //
 //	c := caller.New(caller.Options{Nodes: []string{"127.0.0.1:7000"}, Block: "desk-1"})
 //	r, err := c.Call(ctx, caller.Operation{Service: "reservations", Method: "POST", Path: "/lamps/7", Once: true})
-//	if err == nil && r.Outcome == node.OutcomeRan {
+//	if err == nil && r.Outcome == caller.OutcomeRan {
 //		use(r.Body)
 //	}
 package caller
@@ -32,7 +32,6 @@
 
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/lookup"
-	"github.com/wasabiwheel/wasabiwheel/node"
 )
 
 // Bounds of a client.
@@ -62,8 +61,8 @@
 
 // Reply is what became of an operation.
 type Reply struct {
-	Outcome node.Outcome
-	Reason  node.Reason
+	Outcome Outcome
+	Reason  Reason
 	Status  int
 	Header  http.Header
 	Body    []byte
@@ -222,27 +221,27 @@
 }
 
 func (c *Client) setHeader(h http.Header, op Operation, key string) {
-	h.Set(node.HeaderBlock, string(c.options.Block))
+	h.Set(HeaderBlock, string(c.options.Block))
 	if c.options.Region != "" {
-		h.Set(node.HeaderRegion, string(c.options.Region))
+		h.Set(HeaderRegion, string(c.options.Region))
 	}
 	if key != "" {
-		h.Set(node.HeaderKey, key)
+		h.Set(HeaderKey, key)
 	}
 	if op.Timeout > 0 {
-		h.Set(node.HeaderTimeout, strconv.FormatInt(op.Timeout.Milliseconds(), 10))
+		h.Set(HeaderTimeout, strconv.FormatInt(op.Timeout.Milliseconds(), 10))
 	}
 }
 
 // readOutcome reads what the system says of a request; a target's own answer
 // carries no outcome.
 func (r *Reply) readOutcome(h http.Header) {
-	r.Outcome = node.Outcome(h.Get(node.HeaderOutcome))
+	r.Outcome = Outcome(h.Get(HeaderOutcome))
 	if r.Outcome == "" {
-		r.Outcome = node.OutcomeRan
+		r.Outcome = OutcomeRan
 		return
 	}
-	r.Reason = node.Reason(h.Get(node.HeaderReason))
+	r.Reason = Reason(h.Get(HeaderReason))
 	seconds, err := strconv.Atoi(h.Get("Retry-After"))
 	if err == nil {
 		r.After = time.Duration(seconds) * time.Second
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -11,7 +11,6 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/wasabiwheel/wasabiwheel/lookup"
-	"github.com/wasabiwheel/wasabiwheel/node"
 )
 
 // entry is a fake entry VM that names others in its look-ups.
@@ -31,7 +30,7 @@
 			_ = json.NewEncoder(w).Encode(lookup.Answer{Entries: e.names, TTL: 60})
 			return
 		}
-		e.keys.Store(r.Header.Get(node.HeaderKey))
+		e.keys.Store(r.Header.Get(HeaderKey))
 		e.answer(w, r)
 	}))
 	t.Cleanup(e.Close)
@@ -45,7 +44,7 @@
 func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 func refuse(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(node.HeaderOutcome, string(node.OutcomeNotRun))
+	w.Header().Set(HeaderOutcome, string(OutcomeNotRun))
 	w.Header().Set("Retry-After", "7")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -53,12 +52,12 @@
 func TestCall(t *testing.T) {
 	cases := map[string]struct {
 		first, second http.HandlerFunc
-		outcome       node.Outcome
+		outcome       Outcome
 		tries         int
 	}{
-		"first answers":                  {first: ok, second: breakOff, outcome: node.OutcomeRan, tries: 1},
-		"first breaks off, second tried": {first: breakOff, second: ok, outcome: node.OutcomeRan, tries: 2},
-		"not run is not sent again":      {first: refuse, second: ok, outcome: node.OutcomeNotRun, tries: 1},
+		"first answers":                  {first: ok, second: breakOff, outcome: OutcomeRan, tries: 1},
+		"first breaks off, second tried": {first: breakOff, second: ok, outcome: OutcomeRan, tries: 2},
+		"not run is not sent again":      {first: refuse, second: ok, outcome: OutcomeNotRun, tries: 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -9,31 +9,33 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/wasabiwheel/wasabiwheel/caller"
 )
 
-// Headers of the protocol with callers, targets and other nodes.
+// Headers of the protocol with callers, which targets and other nodes see too.
 const (
-	HeaderOutcome = "Wasabiwheel-Outcome" // on each answer that the system gives itself
-	HeaderReason  = "Wasabiwheel-Reason"  // why, beside the outcome
-	HeaderTimeout = "Wasabiwheel-Timeout" // of a request, in milliseconds
-	HeaderBlock   = "Wasabiwheel-Block"   // the caller's block
-	HeaderRegion  = "Wasabiwheel-Region"  // the caller's region
-	HeaderToken   = "Wasabiwheel-Token"   // for new once-only operations
-	HeaderKey     = "Idempotency-Key"
+	HeaderOutcome = caller.HeaderOutcome
+	HeaderReason  = caller.HeaderReason
+	HeaderTimeout = caller.HeaderTimeout
+	HeaderBlock   = caller.HeaderBlock
+	HeaderRegion  = caller.HeaderRegion
+	HeaderToken   = caller.HeaderToken
+	HeaderKey     = caller.HeaderKey
 )
 
 // Outcome says what became of a request.
-type Outcome string
+type Outcome = caller.Outcome
 
 // The outcomes.
 const (
-	OutcomeRan     Outcome = "ran"     // a target gave a whole answer
-	OutcomeNotRun  Outcome = "not-run" // it did not run, and will not
-	OutcomeUnknown Outcome = "unknown" // it may have run
+	OutcomeRan     = caller.OutcomeRan
+	OutcomeNotRun  = caller.OutcomeNotRun
+	OutcomeUnknown = caller.OutcomeUnknown
 )
 
 // Reason says why a request got no answer from a target.
-type Reason string
+type Reason = caller.Reason
 
 // Reasons beside those of the packages endpoint and region.
 const (
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -39,6 +39,7 @@
 	caller   *http.Client
 	limits   booking.Limits
 	servers  []*http.Server
+	clients  []*http.Client
 }
 
 // rigNode is one running node.
@@ -62,6 +63,12 @@
 }
 
 func newRig(t *testing.T, text []byte) *rig {
+	return newRigOn(t, text, standin.NewNetwork(1, func(standin.Path) standin.Quality { return standin.Quality{Delay: rigDelay} }))
+}
+
+// newRigOn returns a rig on a network with the inventory published and no node
+// running.
+func newRigOn(t *testing.T, text []byte, network *standin.Network) *rig {
 	inv, err := inventory.Parse("rig", text)
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +76,7 @@
 	r := &rig{
 		t:        t,
 		inv:      inv,
-		network:  standin.NewNetwork(1, func(standin.Path) standin.Quality { return standin.Quality{Delay: rigDelay} }),
+		network:  network,
 		platform: standin.NewPlatform(),
 		targets:  map[inventory.EndpointID]*standin.Target{},
 		nodes:    map[inventory.EntryID]*rigNode{},
@@ -182,10 +189,30 @@
 	for _, s := range r.servers {
 		_ = s.Close()
 	}
-	r.caller.CloseIdleConnections()
+	for _, c := range append(r.clients, r.caller) {
+		c.CloseIdleConnections()
+	}
 	time.Sleep(time.Minute)
 }
 
+// anyConfig returns a table with the rig's inventory in force.
+func (r *rig) anyConfig() *configuration.Table {
+	ctx := r.t.Context()
+	head, _, err := configuration.Read(ctx, r.store())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	b, err := configuration.Fetch(ctx, r.store(), head)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	table := configuration.New()
+	if err := table.Offer(b); err != nil {
+		r.t.Fatal(err)
+	}
+	return table
+}
+
 // reply is what a caller got. err is set when there was no whole answer.
 type reply struct {
 	status  int
--- a/standin/network.go
+++ b/standin/network.go
@@ -40,7 +40,8 @@
 	listeners map[string]*listener // by address
 	conns     map[*link]bool
 	cut       map[Path]bool
-	healed    chan struct{} // closed and replaced at each change of cut
+	silent    map[string]bool // by IP number
+	healed    chan struct{}   // closed and replaced at each change of cut
 }
 
 // NewNetwork returns a network with the quality that the function gives for
@@ -55,6 +56,7 @@
 		listeners: map[string]*listener{},
 		conns:     map[*link]bool{},
 		cut:       map[Path]bool{},
+		silent:    map[string]bool{},
 		healed:    make(chan struct{}),
 	}
 }
@@ -74,6 +76,15 @@
 // Heal undoes Cut; what was held back goes on.
 func (n *Network) Heal(p Path) { n.setCut(p, false) }
 
+// Isolate cuts a VM off from all others, for good, as when it loses power.
+func (n *Network) Isolate(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[ip] = true
+	close(n.healed)
+	n.healed = make(chan struct{})
+}
+
 func (n *Network) setCut(p Path, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -183,7 +194,7 @@
 func (n *Network) isCut(p Path) (bool, chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[p], n.healed
+	return n.cut[p] || n.silent[p.From] || n.silent[p.To], n.healed
 }
 
 func (n *Network) delay(p Path) time.Duration {
--- a/standin/target.go
+++ b/standin/target.go
@@ -164,19 +164,30 @@
 // work takes a slot, if they are bounded, and the time of one request. It
 // reports whether the sender is still there.
 func (t *Target) work(ctx context.Context, b Behaviour) bool {
-	for b.Slots > 0 && !t.enter(b.Slots) {
-		select {
-		case <-t.freeing():
-		case <-ctx.Done():
+	if b.Slots > 0 {
+		if !t.await(ctx, b.Slots) {
 			return false
 		}
-	}
-	if b.Slots > 0 {
 		defer t.leave()
 	}
 	return pause(ctx, t.duration(b))
 }
 
+// await takes a slot and reports whether the sender is still there.
+func (t *Target) await(ctx context.Context, slots int) bool {
+	for {
+		freed := t.freeing() // before the look, so that no end is missed
+		if t.enter(slots) {
+			return true
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (t *Target) enter(slots int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
