--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -118,7 +118,12 @@
 // startSystem starts everything and waits until all slots have an owner.
 func startSystem(t *testing.T, file string) (*inventory.Inventory, []*exec.Cmd) {
 	t.Helper()
-	file = localInventory(t, file)
+	return startSystemFrom(t, localInventory(t, file))
+}
+
+// startSystemFrom does so from an inventory on the addresses of this run.
+func startSystemFrom(t *testing.T, file string) (*inventory.Inventory, []*exec.Cmd) {
+	t.Helper()
 	inv, err := inventory.Read(file)
 	if err != nil {
 		t.Fatal(err)
--- a/node/admin.go
+++ b/node/admin.go
@@ -16,13 +16,14 @@
 
 // Status is what a node tells operators.
 type Status struct {
-	Entry    inventory.EntryID      `json:"entry"`
-	State    State                  `json:"state"`
-	Version  inventory.Version      `json:"version"`
-	Members  []inventory.EntryID    `json:"members"`
-	Holds    []inventory.EndpointID `json:"holds"`
-	Loads    []member.Load          `json:"loads"`
-	Counters map[string]int64       `json:"counters"`
+	Entry       inventory.EntryID      `json:"entry"`
+	Incarnation inventory.Incarnation  `json:"incarnation"`
+	State       State                  `json:"state"`
+	Version     inventory.Version      `json:"version"`
+	Members     []inventory.EntryID    `json:"members"`
+	Holds       []inventory.EndpointID `json:"holds"`
+	Loads       []member.Load          `json:"loads"`
+	Counters    map[string]int64       `json:"counters"`
 }
 
 func (n *Node) adminHandler() http.Handler {
@@ -38,11 +39,12 @@
 func (n *Node) Status() Status {
 	now := time.Now()
 	s := Status{
-		Entry:    n.settings.ID,
-		State:    n.state(),
-		Version:  n.config.Version(),
-		Holds:    n.endpoints.Holds(),
-		Counters: n.counters.snapshot(),
+		Entry:       n.settings.ID,
+		Incarnation: n.incarnation,
+		State:       n.state(),
+		Version:     n.config.Version(),
+		Holds:       n.endpoints.Holds(),
+		Counters:    n.counters.snapshot(),
 	}
 	for _, m := range n.members.Live(now) {
 		s.Members = append(s.Members, m.Entry)
