--- a/node/table_test.go
+++ b/node/table_test.go
@@ -8,11 +8,14 @@
 import (
 	"flag"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
 
 	"github.com/wasabiwheel/wasabiwheel/examples"
 )
@@ -56,30 +59,57 @@
 	}
 }
 
-func sorted(m map[string]measure) []string {
-	var names []string
-	for n := range m {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
+// systemOrder and scenarioOrder fix the order of rows and bars.
+var (
+	systemOrder   = []string{"oracle", "wasabiwheel", "two choices", "least load", "random"}
+	scenarioOrder = []string{"steady", "double load", "cold caches", "domain lost", "region lost", "lossy link", "misleading reports"}
+)
 
+// runTable runs everything, prints the table and writes a plot for each
+// deployment.
 func runTable(t *testing.T) {
 	const fullRun, seed = 10 * time.Second, 1
 	fmt.Println("| deployment | scenario | system | p50 ms | p99 ms | good/s | refused | other | peak endpoint | peak region | twice |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
-	for _, d := range []string{"lumbre", "association"} {
-		for _, sc := range []string{"steady", "double load", "cold caches", "domain lost", "region lost", "lossy link", "misleading reports"} {
-			row := map[string]measure{}
-			for name, sys := range systems {
-				row[name] = runExperiment(t, deployments[d], scenarios[sc], sys, fullRun, seed)
-			}
-			for _, name := range sorted(row) {
-				m := row[name]
+	for d, text := range deployments {
+		rows := map[string][]measure{}
+		for _, sc := range scenarioOrder {
+			for _, name := range systemOrder {
+				m := runExperiment(t, text, scenarios[sc], systems[name], fullRun, seed)
+				rows[name] = append(rows[name], m)
 				fmt.Printf("| %s | %s | %s | %.0f | %.0f | %.0f | %d | %d | %.2f | %.2f | %d |\n", d, sc, name,
-					m.P50.Seconds()*1000, m.P99.Seconds()*1000, m.Rate, m.Refused, m.Other, m.Peak, m.Region, m.Twice)
+					millis(m.P50), millis(m.P99), m.Rate, m.Refused, m.Other, m.Peak, m.Region, m.Twice)
 			}
 		}
+		if err := plotRows("../docs/steering-"+d+".svg", d, rows); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func millis(d time.Duration) float64 { return d.Seconds() * 1000 }
+
+// plotRows writes the p99 of each system in each scenario as bars.
+func plotRows(file, title string, rows map[string][]measure) error {
+	p := plot.New()
+	p.Title.Text = title + ": p99 of answered requests"
+	p.Y.Label.Text = "ms"
+	p.Legend.Top = true
+	p.NominalX(scenarioOrder...)
+	const width = 9
+	for i, name := range systemOrder {
+		var values plotter.Values
+		for _, m := range rows[name] {
+			values = append(values, millis(m.P99))
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(width))
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = vg.Points(float64(i-len(systemOrder)/2) * width)
+		p.Add(bars)
+		p.Legend.Add(name, bars)
 	}
+	return p.Save(11*vg.Inch, 5*vg.Inch, file)
 }
