Count busy requests of a stand-in without copying its ledger

Cause: a run of the experiment under double load did not end in five minutes; the sampling of the targets copied all keys each 20 ms. Ruled out: a deadlock.

--- a/node/experiment_test.go
+++ b/node/experiment_test.go
@@ -80,7 +80,6 @@
 	mu    sync.Mutex
 	times *hdrhistogram.Histogram // microseconds
 	m     measure
-	keys  []string
 }
 
 // system is a way of steering.
@@ -235,9 +234,6 @@
 	took := time.Since(began)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if r.Key != "" {
-		x.keys = append(x.keys, r.Key)
-	}
 	if !counted {
 		return
 	}
@@ -270,7 +266,7 @@
 	slots := map[inventory.RegionID]int{}
 	for _, e := range x.r.inv.Endpoints {
 		region := x.r.inv.RegionOf(e.Domain)
-		busy[region] += x.r.targets[e.ID].Ledger().Busy
+		busy[region] += x.r.targets[e.ID].Busy()
 		slots[region] += e.Slots
 	}
 	x.mu.Lock()
@@ -290,12 +286,25 @@
 	for _, e := range x.r.inv.Endpoints {
 		m.Peak = max(m.Peak, float64(x.r.targets[e.ID].Ledger().Peak)/float64(e.Slots))
 	}
-	for _, k := range x.keys {
-		if x.r.timesRun(k) > 1 {
-			m.Twice++
+	m.Twice = x.ranTwice()
+	return m
+}
+
+// ranTwice counts the once-only operations that ran more than once.
+func (x *experiment) ranTwice() int {
+	ran := map[string]int{}
+	for _, t := range x.r.targets {
+		for key, times := range t.Ledger().Keys {
+			ran[key] += times
 		}
 	}
-	return m
+	twice := 0
+	for _, times := range ran {
+		if times > 1 {
+			twice++
+		}
+	}
+	return twice
 }
 
 // lose makes all VMs of some failure domains silent, as when a building loses
--- a/standin/target.go
+++ b/standin/target.go
@@ -151,6 +151,13 @@
 	t.ledger.Busy--
 }
 
+// Busy is the number of requests under way.
+func (t *Target) Busy() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.Busy
+}
+
 // Load is what the target reports of its requests.
 func (t *Target) Load() int {
 	t.mu.Lock()
