--- a/booking/key.go
+++ b/booking/key.go
@@ -52,7 +52,8 @@
 // String returns the form that callers see.
 func (k Key) String() string { return k.Token.String() + randomMark + k.Random }
 
-// ParseKey reads a key. It fails with KindMalformed.
+// ParseKey reads a key. It fails with KindMalformed. A key has one form only, so
+// that targets, which see its text, see one text for one operation.
 func ParseKey(s string) (Key, error) {
 	head, random, ok := strings.Cut(s, randomMark)
 	if !ok {
@@ -65,7 +66,11 @@
 	if err != nil {
 		return Key{}, err
 	}
-	return Key{Token: token, Random: random}, nil
+	k := Key{Token: token, Random: random}
+	if k.String() != s {
+		return Key{}, malformed("the token is not as the look-up gave it")
+	}
+	return k, nil
 }
 
 func parseToken(s string) (Token, error) {
--- a/booking/table.go
+++ b/booking/table.go
@@ -12,9 +12,11 @@
 //     ever.
 //   - A key too old to be remembered is "unknown", and is not started.
 //
-// A record outlives its key, so a forgotten operation cannot start again. When
-// the table is full new operations are refused and sealed; records of live
-// keys are never dropped to make room.
+// A record outlives its key, so a forgotten operation cannot start again, and a
+// record under way is never dropped. When the table is full new operations are
+// refused and sealed; records of live keys are never dropped to make room. An
+// answer for which there is no room goes to the caller that the operation was
+// started for; later ones learn that it is not kept.
 //
 // # Usage
 //
@@ -82,11 +84,24 @@
 // Answer is what became of an operation, as kept for repeats: a target's whole
 // answer, or the reason why there is none.
 type Answer struct {
-	Status int
-	Header map[string][]string
-	Body   []byte
-	Reason string
-	After  time.Duration // when to come back
+	Status  int
+	Header  map[string][]string
+	Body    []byte
+	Reason  string
+	After   time.Duration // when to come back
+	Dropped bool          // there was no room to keep the answer
+}
+
+// size is the number of bytes that an answer occupies.
+func (a Answer) size() int {
+	size := len(a.Body)
+	for name, values := range a.Header {
+		size += len(name)
+		for _, v := range values {
+			size += len(v)
+		}
+	}
+	return size
 }
 
 // Digest identifies the content of a request.
@@ -104,7 +119,8 @@
 type Limits struct {
 	Records int           // operations remembered
 	Seals   int           // sealed keys remembered
-	Bytes   int           // bytes of answers remembered
+	Bytes   int           // bytes of answers remembered, headers included
+	Answer  int           // bytes held free for the answer of each operation under way
 	Period  time.Duration // length of a period
 	Window  Period        // periods for which a key is remembered
 }
@@ -114,6 +130,7 @@
 	defaultRecords = 50_000
 	defaultSeals   = 100_000
 	defaultBytes   = 32 << 20
+	defaultAnswer  = 4 << 10
 	defaultPeriod  = 30 * time.Second
 	defaultWindow  = 20
 )
@@ -128,6 +145,9 @@
 	if l.Bytes == 0 {
 		l.Bytes = defaultBytes
 	}
+	if l.Answer == 0 {
+		l.Answer = defaultAnswer
+	}
 	if l.Period == 0 {
 		l.Period = defaultPeriod
 	}
@@ -147,6 +167,12 @@
 
 func (r *record) state() State { return State(r.life.Current()) }
 
+// over reports whether nothing more can become of the operation.
+func (r *record) over() bool {
+	s := r.state()
+	return s != StateNew && s != StateSent
+}
+
 // Table remembers the operations of one incarnation. It is safe for concurrent
 // use.
 type Table struct {
@@ -158,10 +184,12 @@
 	mu      sync.Mutex
 	records map[Period]map[string]*record // by the random part of the key
 	seals   map[Period]map[string]bool
-	live    int // number of records
-	sealed  int // number of seals
-	bytes   int // of answers
-	oldest  Period
+	live    int    // number of records
+	running int    // of them under way
+	sealed  int    // number of seals
+	bytes   int    // of answers
+	oldest  Period // whose keys are accepted
+	kept    Period // the oldest that was not dropped
 }
 
 // New returns an empty table for an incarnation that started at born.
@@ -182,7 +210,7 @@
 }
 
 func (t *Table) period(now time.Time) Period {
-	return Period(now.Sub(t.born) / t.limits.Period)
+	return Period(max(now.Sub(t.born), 0) / t.limits.Period)
 }
 
 // Begin decides what to do with a received operation and, with Start, records
@@ -204,13 +232,18 @@
 	if r, ok := t.records[k.Period][k.Random]; ok {
 		return r.verdict(d)
 	}
-	if t.live >= t.limits.Records || t.bytes >= t.limits.Bytes {
+	if !t.hasRoom() {
 		return t.refuse(k)
 	}
 	t.add(k, d)
 	return Verdict{Action: Start, State: StateNew}
 }
 
+func (t *Table) hasRoom() bool {
+	reserved := (t.running + 1) * t.limits.Answer
+	return t.live < t.limits.Records && t.bytes+reserved <= t.limits.Bytes
+}
+
 // refuse seals a key for which there is no room. When even the seal does not
 // fit, the state is unknown: nothing was started, but nothing can be promised.
 func (t *Table) refuse(k Key) Verdict {
@@ -239,18 +272,17 @@
 		done:   make(chan struct{}),
 	}
 	t.live++
+	t.running++
 }
 
 func (r *record) verdict(d Digest) Verdict {
 	if r.digest != d {
 		return Verdict{Action: Differs, State: r.state()}
 	}
-	switch r.state() {
-	case StateNew, StateSent:
+	if !r.over() {
 		return Verdict{Action: Join, State: r.state(), Done: r.done}
-	default:
-		return Verdict{Action: Replay, State: r.state(), Answer: r.answer}
 	}
+	return Verdict{Action: Replay, State: r.state(), Answer: r.answer}
 }
 
 // Look returns what is known of an operation after Join.
@@ -295,32 +327,60 @@
 	if err := r.life.Event(context.Background(), event); err != nil {
 		return &Error{Op: op, Kind: KindState, Err: err}
 	}
-	r.answer = a
-	t.bytes += len(a.Body)
-	if event != eventSend && event != eventReturn {
+	r.answer = t.keep(a)
+	if r.over() {
+		t.running--
 		close(r.done)
+		t.dropLate(k)
 	}
 	return nil
 }
 
-// forget drops the periods whose keys are no longer accepted. A dropped period
-// never comes back, because oldest only grows.
+// keep makes room for an answer, or drops what does not fit of it.
+func (t *Table) keep(a Answer) Answer {
+	if t.bytes+a.size() > t.limits.Bytes {
+		return Answer{Status: a.Status, Reason: a.Reason, After: a.After, Dropped: true}
+	}
+	t.bytes += a.size()
+	return a
+}
+
+// forget refuses the keys that have become too old, and drops their records a
+// period later, when nobody waits for them any more. Neither comes back, since
+// both bounds only grow.
 func (t *Table) forget(now time.Time) {
 	current := t.period(now)
-	if current < t.limits.Window {
-		return
+	if current > t.limits.Window {
+		t.oldest = max(t.oldest, current-t.limits.Window)
 	}
-	for limit := current - t.limits.Window; t.oldest < limit; t.oldest++ {
-		t.drop(t.oldest)
+	for ; t.kept+1 < t.oldest; t.kept++ {
+		t.drop(t.kept)
 	}
 }
 
+// drop drops a period, but for what is still under way.
 func (t *Table) drop(p Period) {
-	for _, r := range t.records[p] {
-		t.bytes -= len(r.answer.Body)
+	for random, r := range t.records[p] {
+		if r.over() {
+			t.remove(p, random)
+		}
 	}
-	t.live -= len(t.records[p])
 	t.sealed -= len(t.seals[p])
-	delete(t.records, p)
 	delete(t.seals, p)
 }
+
+// dropLate drops a record that outlasted its period.
+func (t *Table) dropLate(k Key) {
+	if k.Period < t.kept {
+		t.remove(k.Period, k.Random)
+	}
+}
+
+func (t *Table) remove(p Period, random string) {
+	t.bytes -= t.records[p][random].answer.size()
+	t.live--
+	delete(t.records[p], random)
+	if len(t.records[p]) == 0 {
+		delete(t.records, p)
+	}
+}
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,7 @@
 	platform *standin.Platform
 	targets  map[inventory.EndpointID]*standin.Target
 	nodes    map[inventory.EntryID]*rigNode
+	started  []*rigNode // all that ever ran
 	caller   *http.Client
 	limits   booking.Limits
 	servers  []*http.Server
@@ -133,6 +135,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &rigNode{Node: New(s, Options{Network: r.network.VM(hostOf(e.Peer)), Bookings: r.limits}), stop: stop, done: make(chan struct{})}
 	r.nodes[id] = n
+	r.started = append(r.started, n)
 	go func() {
 		defer close(n.done)
 		if err := n.Run(ctx); err != nil {
@@ -193,6 +196,18 @@
 		c.CloseIdleConnections()
 	}
 	time.Sleep(time.Minute)
+	r.checkInvariants()
+}
+
+// checkInvariants fails the test if a node met a fault of its own program.
+func (r *rig) checkInvariants() {
+	for _, n := range r.started {
+		for name, count := range n.counters.snapshot() {
+			if strings.HasPrefix(name, "invariant.") && count > 0 {
+				r.t.Errorf("%s: %s is %d", n.settings.ID, name, count)
+			}
+		}
+	}
 }
 
 // anyConfig returns a table with the rig's inventory in force.
--- a/standin/network.go
+++ b/standin/network.go
@@ -41,6 +41,7 @@
 	conns     map[*link]bool
 	cut       map[Path]bool
 	silent    map[string]bool // by IP number
+	killed    map[string]int  // times that Kill was called, by IP number
 	healed    chan struct{}   // closed and replaced at each change of cut
 }
 
@@ -57,18 +58,31 @@
 		conns:     map[*link]bool{},
 		cut:       map[Path]bool{},
 		silent:    map[string]bool{},
+		killed:    map[string]int{},
 		healed:    make(chan struct{}),
 	}
 }
 
-// VM is a VM's own view of the network.
+// VM is the view of the network that a process on a VM has. It ends with Kill.
 type VM struct {
 	network *Network
 	ip      string
+	born    int // value of killed
 }
 
-// VM returns the view of the VM with an IP number.
-func (n *Network) VM(ip string) *VM { return &VM{network: n, ip: ip} }
+// VM returns the view of a new process on the VM with an IP number.
+func (n *Network) VM(ip string) *VM {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &VM{network: n, ip: ip, born: n.killed[ip]}
+}
+
+// isDead reports whether the process was killed.
+func (v *VM) isDead() bool {
+	v.network.mu.Lock()
+	defer v.network.mu.Unlock()
+	return v.network.killed[v.ip] != v.born
+}
 
 // Cut holds back whatever goes along a path, in that direction only.
 func (n *Network) Cut(p Path) { n.setCut(p, true) }
@@ -94,9 +108,11 @@
 }
 
 // Kill ends whatever listens or is connected at an IP number, as when a process
-// dies: its connections break and its addresses refuse new ones.
+// dies: its connections break, its addresses refuse new ones, and what the
+// process still does reaches nobody.
 func (n *Network) Kill(ip string) {
 	n.mu.Lock()
+	n.killed[ip]++
 	var broken []*link
 	for l := range n.conns {
 		if l.path.From == ip || l.path.To == ip {
@@ -157,6 +173,10 @@
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	}
 	near, far := n.connect(path, address)
+	if v.isDead() {
+		_ = near.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ENETDOWN}
+	}
 	select {
 	case l.accept <- far:
 		return near, nil
