Repeat the head's conditional write until it is answered

Cause: after a write of the head whose answer was lost, Publish read the head once and, finding it unchanged, told the operator that the change had lost. The write could still take effect afterwards, so a change that was told as lost came into force.

Ruled out: reading the head several times before deciding (a later effect is always possible); a marker object of each operator (one more write, and the same question about its own answer).

Now the same conditional write is repeated until one is answered. Whichever takes effect moves the head, and the others fail on the condition. With the time up and a write unanswered the outcome is told as uncertain.

--- a/configuration/error.go
+++ b/configuration/error.go
@@ -18,6 +18,8 @@
 	Op   string
 	Kind Kind
 	Err  error
+	// Standing is the version that stands, with KindLost.
+	Standing Accepted
 }
 
 // Error formats the failure as "op: kind: cause".
--- a/configuration/head.go
+++ b/configuration/head.go
@@ -92,13 +92,13 @@
 	}
 }
 
-// find returns the acceptance that carries the nonce.
-func (h Head) find(nonce Nonce) (Accepted, bool) {
-	if h.Nonce == nonce {
+// find returns the acceptance of a version, as far as the log reaches back.
+func (h Head) find(v inventory.Version) (Accepted, bool) {
+	if h.Version == v && v > 0 {
 		return h.Accepted, true
 	}
 	for _, a := range h.Log {
-		if a.Nonce == nonce {
+		if a.Version == v {
 			return a, true
 		}
 	}
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -15,8 +15,11 @@
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
-// recheckPause is the pause between looks at the head after a lost answer.
-const recheckPause = 200 * time.Millisecond
+// Pauses between tries of one call.
+const (
+	minPause = 100 * time.Millisecond
+	maxPause = time.Second
+)
 
 // Store is the part of the platform's client that is needed here.
 type Store interface {
@@ -36,17 +39,22 @@
 }
 
 // Read returns the head with its object version; a store with no head yields
-// the zero Head and platform.Absent.
+// the zero Head and platform.Absent. It tries again until ctx ends.
 func Read(ctx context.Context, store Store) (Head, platform.Version, error) {
-	obj, err := store.Get(ctx, HeadName)
-	if errors.Is(err, platform.ErrMissing) {
-		return Head{}, platform.Absent, nil
-	}
-	if err != nil {
-		return Head{}, "", &Error{Op: "read", Kind: KindUnavailable, Err: err}
+	pause := newBackOff()
+	for {
+		obj, err := store.Get(ctx, HeadName)
+		if err == nil {
+			h, err := ParseHead(obj.Value)
+			return h, obj.Version, err
+		}
+		if errors.Is(err, platform.ErrMissing) {
+			return Head{}, platform.Absent, nil
+		}
+		if !pause.Wait(ctx) {
+			return Head{}, "", &Error{Op: "read", Kind: KindUnavailable, Err: err}
+		}
 	}
-	h, err := ParseHead(obj.Value)
-	return h, obj.Version, err
 }
 
 // Fetch reads the shards that the head names.
@@ -84,53 +92,83 @@
 	return moveHead(ctx, store, next, version)
 }
 
+// putShard repeats the write of a shard until it is there or ctx ends.
 func putShard(ctx context.Context, store Store, data []byte) (Hash, error) {
 	hash := HashOf(data)
-	_, err := store.Put(ctx, shardName(hash), data, platform.Absent)
-	// A conflict means that the same content is there already.
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		return hash, nil
+	pause := newBackOff()
+	for {
+		_, err := store.Put(ctx, shardName(hash), data, platform.Absent)
+		// A conflict means that the same content is there already.
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return hash, nil
+		}
+		if !pause.Wait(ctx) {
+			return "", &Error{Op: "shard", Kind: KindUnavailable, Err: err}
+		}
 	}
-	return "", &Error{Op: "shard", Kind: KindUnavailable, Err: err}
 }
 
+// moveHead makes next the head if the head's object version still is match. An
+// unanswered write may take effect at any later time, as long as the head has
+// not moved; so the same write is repeated until one is answered. Whichever of
+// them takes effect moves the head, and the others then fail on the condition:
+// the change is accepted at most once.
 func moveHead(ctx context.Context, store Store, next Head, match platform.Version) (Accepted, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Accepted{}, &Error{Op: "publish", Kind: KindCorrupt, Err: err}
 	}
-	_, err = store.Put(ctx, HeadName, value, match)
+	pause := newBackOff()
+	unanswered := false
+	for {
+		_, err := store.Put(ctx, HeadName, value, match)
+		switch {
+		case err == nil:
+			return next.Accepted, nil
+		case errors.Is(err, platform.ErrConflict):
+			return settle(ctx, store, next, unanswered)
+		case errors.Is(err, platform.ErrUncertain):
+			unanswered = true
+		}
+		if !pause.Wait(ctx) {
+			return Accepted{}, unsettled(unanswered, err)
+		}
+	}
+}
+
+// unsettled is the failure of a write that was never answered.
+func unsettled(unanswered bool, err error) error {
+	if unanswered {
+		return &Error{Op: "publish", Kind: KindUncertain, Err: err}
+	}
+	return &Error{Op: "publish", Kind: KindUnavailable, Err: err}
+}
+
+// settle finds out who moved the head: an unanswered write of next or another
+// operator's.
+func settle(ctx context.Context, store Store, next Head, unanswered bool) (Accepted, error) {
+	head, _, err := Read(ctx, store)
+	if err != nil {
+		return Accepted{}, unsettled(unanswered, err)
+	}
+	a, known := head.find(next.Version)
 	switch {
-	case err == nil:
-		return next.Accepted, nil
-	case errors.Is(err, platform.ErrUncertain), errors.Is(err, platform.ErrConflict):
-		// A conflict may be with our own earlier write, if the transport sent
-		// it twice; the nonce tells.
-		return settle(ctx, store, next.Nonce)
+	case known && a.Nonce == next.Nonce:
+		return a, nil
+	case known || !unanswered:
+		return Accepted{}, lost(head)
 	default:
-		return Accepted{}, &Error{Op: "publish", Kind: KindUnavailable, Err: err}
+		// The store's log does not reach back to the version, or the store
+		// has come back with an older state.
+		return Accepted{}, &Error{Op: "publish", Kind: KindUncertain, Err: errors.Newf("the store's log does not show version %d", next.Version)}
 	}
 }
 
-// settle finds out whether the write with the nonce was accepted.
-func settle(ctx context.Context, store Store, nonce Nonce) (Accepted, error) {
-	for {
-		head, _, err := Read(ctx, store)
-		if err == nil {
-			if a, ok := head.find(nonce); ok {
-				return a, nil
-			}
-			return Accepted{}, lost(head)
-		}
-		select {
-		case <-ctx.Done():
-			return Accepted{}, &Error{Op: "publish", Kind: KindUncertain, Err: err}
-		case <-time.After(recheckPause):
-		}
-	}
+func newBackOff() *platform.BackOff {
+	return &platform.BackOff{Min: minPause, Max: maxPause}
 }
 
 func lost(head Head) error {
-	return &Error{Op: "publish", Kind: KindLost, Err: errors.Newf("version %d by %q is in force since %s",
-		head.Version, head.Author, head.Time.Format(time.RFC3339))}
+	cause := errors.Newf("version %d by %q is in force since %s", head.Version, head.Author, head.Time.Format(time.RFC3339))
+	return &Error{Op: "publish", Kind: KindLost, Err: cause, Standing: head.Accepted}
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,8 +30,12 @@
 // Fault is how the platform misbehaves.
 type Fault struct {
 	Down       bool          `json:"down"`       // every call fails
-	Delay      time.Duration `json:"delay"`      // before each answer, in nanoseconds
+	Delay      time.Duration `json:"delay"`      // before each call, in nanoseconds
+	Object     string        `json:"object"`     // the only object whose writes the next three hit; "": any
 	LoseAnswer int           `json:"loseAnswer"` // of the next writes: they take effect, the answer is cut off
+	LoseWrite  int           `json:"loseWrite"`  // of the next writes: they never take effect, the answer is cut off
+	LateWrite  int           `json:"lateWrite"`  // of the next writes: the answer is cut off, they take effect after LateBy
+	LateBy     time.Duration `json:"lateBy"`     // in nanoseconds
 	ListLag    time.Duration `json:"listLag"`    // by which the VM list is late, in nanoseconds
 }
 
@@ -39,6 +44,8 @@
 	Reads   int `json:"reads"`
 	Writes  int `json:"writes"`
 	Watches int `json:"watches"` // waiting now
+	Read    int `json:"read"`    // bytes of values
+	Written int `json:"written"` // bytes of values
 }
 
 type object struct {
@@ -170,6 +177,7 @@
 		if ok && o.tag() != known {
 			w.Header().Set("ETag", o.tag())
 			_, _ = w.Write(o.value)
+			p.countRead(len(o.value))
 			return
 		}
 		left := time.Until(deadline)
@@ -183,6 +191,12 @@
 	}
 }
 
+func (p *Platform) countRead(size int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Read += size
+}
+
 func refuseGet(w http.ResponseWriter, exists bool) {
 	if exists {
 		w.WriteHeader(http.StatusNotModified)
@@ -237,10 +251,17 @@
 		http.Error(w, "value", http.StatusRequestEntityTooLarge)
 		return
 	}
-	o, ok, lose := p.put(name, value, r.Header)
+	fate, late := p.writeFate(name)
+	if fate == fateLate {
+		header := r.Header.Clone()
+		time.AfterFunc(late, func() { p.put(name, value, header) })
+	}
+	if fate == fateLate || fate == fateLost {
+		panic(http.ErrAbortHandler)
+	}
+	o, ok := p.put(name, value, r.Header)
 	switch {
-	case lose:
-		// The write stands, and the connection breaks before the answer.
+	case fate == fateUnanswered:
 		panic(http.ErrAbortHandler)
 	case !ok:
 		w.WriteHeader(http.StatusPreconditionFailed)
@@ -250,25 +271,80 @@
 	}
 }
 
-func (p *Platform) put(name string, value []byte, header http.Header) (o object, ok, lose bool) {
+// fate is what becomes of a write.
+type fate int
+
+const (
+	fateDone       fate = iota
+	fateLost            // no effect, no answer
+	fateLate            // no answer, an effect later
+	fateUnanswered      // an effect, no answer
+)
+
+// writeFate uses up one of the faults that are due to the next writes.
+func (p *Platform) writeFate(name string) (f fate, late time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.fault.Object != "" && p.fault.Object != name:
+		return fateDone, 0
+	case p.fault.LoseWrite > 0:
+		p.fault.LoseWrite--
+		return fateLost, 0
+	case p.fault.LateWrite > 0:
+		p.fault.LateWrite--
+		return fateLate, p.fault.LateBy
+	case p.fault.LoseAnswer > 0:
+		p.fault.LoseAnswer--
+		return fateUnanswered, 0
+	default:
+		return fateDone, 0
+	}
+}
+
+func (p *Platform) put(name string, value []byte, header http.Header) (o object, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Writes++
+	p.counts.Written += len(value)
 	old, exists := p.objects[name]
 	if header.Get("If-None-Match") == "*" && exists {
-		return object{}, false, false
+		return object{}, false
 	}
 	if match := header.Get("If-Match"); match != "" && (!exists || match != old.tag()) {
-		return object{}, false, false
+		return object{}, false
 	}
 	p.last++
 	o = object{value: value, version: p.last}
 	p.objects[name] = o
+	p.wake()
+	return o, true
+}
+
+// wake lets the waiting watches look again.
+func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
-	if p.fault.LoseAnswer > 0 {
-		p.fault.LoseAnswer--
-		lose = true
-	}
-	return o, true, lose
+}
+
+// Snapshot is a past state of the objects.
+type Snapshot struct {
+	objects map[string]object
+	last    int
+}
+
+// Snapshot returns the present state, as a backup would.
+func (p *Platform) Snapshot() Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Snapshot{objects: maps.Clone(p.objects), last: p.last}
+}
+
+// Restore brings back an older state. Its versions are given out once more.
+func (p *Platform) Restore(s Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects = maps.Clone(s.objects)
+	p.last = s.last
+	p.wake()
 }
