Caps as budgets with floors and leased grants; spill with room kept

Cause: Take let everything pass unless a cap was 0, so nothing bounded the sum over nodes, and links were not counted. Each cap and each direction of a link is now a budget: half of it floors, half granted for two seconds by the holder of one lease object.

--- a/node/node.go
+++ b/node/node.go
@@ -112,6 +112,7 @@
 	work       atomic.Int64 // requests and operations in flight
 	newer      chan inventory.EntryID
 
+	grants     grants
 	applying   sync.Mutex
 	neighbours neighbours
 }
@@ -130,7 +131,7 @@
 		life:        fsm.NewFSM(string(StateStarting), life, nil),
 		config:      configuration.New(),
 		members:     member.New(s.ID),
-		regions:     region.New(s.ID),
+		regions:     region.New(s.ID, newRandom()),
 		endpoints:   endpoint.New(s.ID),
 		targets:     &http.Client{Transport: newTransport(o.Network, targetConns), CheckRedirect: keepRedirect},
 		peers:       &http.Client{Transport: newPeerTransport(o.Network), CheckRedirect: keepRedirect},
@@ -141,6 +142,7 @@
 		newer:       make(chan inventory.EntryID, 1),
 		neighbours:  neighbours{stop: map[inventory.EntryID]context.CancelFunc{}},
 	}
+	n.grants = newGrants(s.ID)
 	n.bookings = booking.New(s.ID, n.incarnation, o.Bookings, time.Now())
 	return n
 }
@@ -196,6 +198,8 @@
 	n.background.Go(func() { n.followStore(n.ctx) })
 	n.background.Go(func() { n.followPeers(n.ctx) })
 	n.background.Go(func() { n.tick(n.ctx) })
+	n.background.Go(func() { n.followLease(n.ctx) })
+	n.background.Go(func() { n.followGrants(n.ctx) })
 	klog.InfoS("node started", "entry", n.settings.ID, "caller", n.settings.Caller, "peer", n.settings.Peer)
 	<-ctx.Done()
 	n.leave(servers)
@@ -234,6 +238,7 @@
 func (n *Node) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.endpoints.Tick(time.Now())
+		n.regions.Tick(time.Now())
 		if n.config.Version() > 0 && n.state() == StateStarting {
 			n.move("serve")
 		}
--- a/node/peers.go
+++ b/node/peers.go
@@ -30,6 +30,7 @@
 	mux.Handle(pathHandOver+servePrefix, n.peerRequest(pathHandOver, n.serveHere))
 	mux.Handle(pathBooking+servePrefix, n.peerRequest(pathBooking, n.book))
 	mux.HandleFunc(pathMember, n.acceptMember)
+	mux.HandleFunc(pathGrant, n.serveGrant)
 	mux.HandleFunc(pathConfiguration, n.serveConfiguration)
 	return mux
 }
--- a/node/steer.go
+++ b/node/steer.go
@@ -20,7 +20,10 @@
 // most once it never tries again after an unknown outcome.
 func (n *Node) steer(ctx context.Context, q *request) answer {
 	last := notRun(ReasonNoPlace, 0)
-	places := n.regions.Order(n.settings.Domain, n.places(q.service.ID))
+	places, refusal := n.order(q)
+	if refusal != nil {
+		last = notRun(Reason(refusal.Reason), refusal.After)
+	}
 	for i, p := range places {
 		if i == maxAttempts {
 			break
@@ -58,7 +61,7 @@
 		}
 		for _, l := range m.Loads {
 			if l.Service == id {
-				places = append(places, region.Place{Entry: e.ID, Domain: e.Domain, Region: inv.RegionOf(e.Domain), Free: l.Free, Slots: l.Slots, Queue: l.Queue})
+				places = append(places, region.Place{Entry: e.ID, Domain: e.Domain, Region: inv.RegionOf(e.Domain), Free: l.Free, Slots: l.Slots, Queue: l.Queue, At: m.Last})
 			}
 		}
 	}
@@ -66,7 +69,7 @@
 }
 
 func (n *Node) ownPlace(now time.Time, inv *inventory.Inventory, id inventory.ServiceID) region.Place {
-	p := region.Place{Entry: n.settings.ID, Domain: n.settings.Domain, Region: inv.RegionOf(n.settings.Domain)}
+	p := region.Place{Entry: n.settings.ID, Domain: n.settings.Domain, Region: inv.RegionOf(n.settings.Domain), At: now}
 	for _, l := range n.endpoints.Loads(now) {
 		if l.Service == id {
 			p.Free, p.Slots, p.Queue = l.Free, l.Slots, l.Queue
@@ -77,14 +80,12 @@
 
 // attempt tries one place.
 func (n *Node) attempt(ctx context.Context, p region.Place, q *request) answer {
-	move := region.Move{Service: q.service.ID, From: q.home, To: p.Region}
-	if r := n.regions.Take(time.Now(), move); r != nil {
-		return notRun(Reason(r.Reason), r.After)
-	}
-	if p.Entry == n.settings.ID {
-		return n.serveHere(ctx, q)
-	}
-	return n.handOver(ctx, p.Entry, q)
+	return n.moveTo(p, q, func() answer {
+		if p.Entry == n.settings.ID {
+			return n.serveHere(ctx, q)
+		}
+		return n.handOver(ctx, p.Entry, q)
+	})
 }
 
 // serveHere serves a request at an endpoint that this node owns.
--- /dev/null
+++ b/region/error.go
@@ -0,0 +1,22 @@
+package region
+
+// Kind classifies an Error so that callers can branch on it.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindEpoch Kind = "epoch" // a grant of a lease that has been superseded
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the failure as "op: kind: cause".
+func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
