Leaving of targets and nodes on evidence; a paused owner starts nothing

Cause: only drains in the inventory kept new work from a leaving target, the platform's list of VMs was not read, a stopping node kept its endpoints until its address refused, and a woken owner went on with what it knew before.

Targets: the VM list (leaving, or not named any more after having been named), the inventory, and the target's own signal (header Wasabiwheel-Leaving: 1 on any answer, or 503 on /health); what a node knows at first hand goes to the others with its heartbeats. A gap between ticks above 1 s counts as a pause; until a node that was not paused, or the platform, was asked after it, nothing new is sent; the last check stands right before the send.

Nodes: out of look-ups, wait, resign (the queue is served, then the endpoint is free), answers with Connection: close, a second signal ends it and counts what it cuts. A resigned candidate that does not hold an endpoint is passed over. The wait before a taken endpoint is used now runs from the last event that may have left work behind, not from the taking.

Heartbeats have a sequence number and incarnations the time of the start in their upper bits, so that late ones are ignored.

The slots of a restarted node have no owner for 3 s, as before: it waits a deadline, since it cannot know what its predecessor left behind.

--- a/cmd/wasabiwheel/node.go
+++ b/cmd/wasabiwheel/node.go
@@ -18,7 +18,7 @@
 }
 
 // Execute runs the node until a signal. The first signal makes it leave in
-// order, the second one ends it at once.
+// order, the second one ends that at once and has it count what it cuts.
 func (c *nodeCommand) Execute([]string) error {
 	s, err := node.ReadSettings(c.Settings)
 	if err != nil {
@@ -26,6 +26,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	n := node.New(s, node.Options{})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -33,7 +34,8 @@
 		cancel()
 		<-signals
 		klog.InfoS("second signal, stopping at once")
-		os.Exit(exitFailed)
+		signal.Stop(signals) // a third one kills
+		n.Abort()
 	}()
-	return node.New(s, node.Options{}).Run(ctx)
+	return n.Run(ctx)
 }
--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -74,7 +74,7 @@
 	defer t.mu.Unlock()
 	q := t.queueOf(service)
 	l := t.load(now, service)
-	if l.Slots == 0 {
+	if l.Slots == 0 || t.resigned {
 		return refuse(ReasonNone, t.deadlineOrZero(service))
 	}
 	if len(q.waiting) == 0 {
@@ -107,9 +107,12 @@
 
 // take occupies a slot of the least used endpoint of a service.
 func (t *Table) take(now time.Time, service inventory.ServiceID) (Slot, bool) {
+	if !t.awake(now) {
+		return Slot{}, false
+	}
 	var best *point
 	for _, p := range t.points {
-		if p.Service != service || !p.usableAt(now) || p.busy >= p.Slots {
+		if p.Service != service || !p.usableAt(now) || p.busy >= p.Slots || t.leaves(p.ID) {
 			continue
 		}
 		if best == nil || p.less(best) {
@@ -174,7 +177,10 @@
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.awake(now)
+	t.pause.ticked = now
 	t.dispatch(now)
+	t.yield()
 }
 
 // dispatch hands free slots to the requests that wait, the oldest first. Those
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -15,9 +15,14 @@
 // nobody, and may go on when it wakes. Two owners would need a message that
 // says "not held" while it is held, or evidence of death of a live process.
 //
+// A node that leaves resigns: it takes no new work, and a candidate that has
+// resigned and does not hold an endpoint is passed over.
+//
 // What an earlier owner left behind may still run at the endpoint after it
-// died. A node that takes an endpoint therefore waits for the service's
-// deadline before it sends it work.
+// died. A node that takes an endpoint therefore sends it work only when the
+// service's deadline has passed since the last event that may have left work
+// behind: a candidate's death, the replacement of one that had not resigned, or
+// a change of the candidates.
 //
 // # Usage
 //
@@ -42,6 +47,7 @@
 	rank    []inventory.EntryID
 	cleared map[inventory.EntryID]bool // candidates that do not hold it
 	owned   bool
+	changed time.Time // when it was declared or its candidates changed
 	usable  time.Time // when an earlier owner's work has ended
 	busy    int       // slots in use
 	drained bool
@@ -58,6 +64,11 @@
 	dead   map[inventory.EntryID]bool
 	heard  map[inventory.EntryID]time.Time // newest message
 	queues map[inventory.ServiceID]*queue
+
+	claims   map[Source][]inventory.EndpointID // endpoints that leave
+	peers    map[inventory.EntryID]peer
+	pause    pause
+	resigned bool // this node takes no new work
 }
 
 // New returns a table for the node on the given entry VM.
@@ -68,6 +79,8 @@
 		dead:   map[inventory.EntryID]bool{},
 		heard:  map[inventory.EntryID]time.Time{},
 		queues: map[inventory.ServiceID]*queue{},
+		claims: map[Source][]inventory.EndpointID{},
+		peers:  map[inventory.EntryID]peer{},
 	}
 }
 
@@ -84,7 +97,7 @@
 			continue
 		}
 		declared[e.ID] = true
-		t.place(e, rank)
+		t.place(now, e, rank)
 	}
 	for id, p := range t.points {
 		if declared[id] {
@@ -101,12 +114,15 @@
 	t.assess(now)
 }
 
-func (t *Table) place(e inventory.Endpoint, rank []inventory.EntryID) {
+func (t *Table) place(now time.Time, e inventory.Endpoint, rank []inventory.EntryID) {
 	p, ok := t.points[e.ID]
 	if !ok {
 		p = &point{cleared: map[inventory.EntryID]bool{}}
 		t.points[e.ID] = p
 	}
+	if e.Address != p.Address || !slices.Equal(rank, p.rank) {
+		p.changed = now
+	}
 	p.Endpoint = e
 	p.rank = rank
 	p.drained = t.inv.Drained(e)
@@ -125,7 +141,7 @@
 		} else {
 			delete(p.cleared, from)
 		}
-		if p.before(from, t.self) {
+		if p.before(from, t.self) && !t.passedOver(p, from) {
 			p.owned = false
 		}
 	}
@@ -141,6 +157,7 @@
 	if last, ok := t.heard[id]; ok && !last.Before(since) {
 		return
 	}
+	t.lost(now, id)
 	t.dead[id] = true
 	for _, p := range t.points {
 		// Whatever runs there next starts with nothing held, and takes nothing
@@ -163,17 +180,21 @@
 			continue
 		}
 		p.owned = true
-		p.usable = now.Add(t.deadlineOf(p.Service))
+		p.usable = t.clearAt(p)
 	}
 	t.dispatch(now)
 }
 
 func (t *Table) mayOwn(p *point) bool {
+	if t.resigned {
+		return false
+	}
 	mine := slices.Index(p.rank, t.self)
 	for i, id := range p.rank {
 		switch {
 		case id == t.self || t.dead[id]:
 		case i > mine && p.cleared[id]:
+		case t.passedOver(p, id):
 		default:
 			return false
 		}
@@ -225,7 +246,7 @@
 func (t *Table) load(now time.Time, id inventory.ServiceID) Load {
 	l := Load{Service: id, Queue: len(t.queueOf(id).waiting)}
 	for _, p := range t.points {
-		if p.Service == id && p.usableAt(now) {
+		if p.Service == id && p.usableAt(now) && !t.leaves(p.ID) {
 			l.Slots += p.Slots
 			l.Free += max(0, p.Slots-p.busy)
 		}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -169,9 +169,10 @@
 	blocks   map[BlockID]RegionID
 }
 
-// Incarnation identifies one start of the process on an entry VM. It is drawn
-// at random at each start, so that a restarted process is never taken for the
-// one before it.
+// Incarnation identifies one start of the process on an entry VM. The time of
+// the start is in its upper bits, so that later ones have higher numbers as far
+// as clocks can be trusted, and the rest is random, so that a restarted process
+// is never taken for the one before it.
 type Incarnation uint64
 
 // Version numbers the accepted configurations, from 1 upwards.
--- a/member/message.go
+++ b/member/message.go
@@ -25,13 +25,22 @@
 type Heartbeat struct {
 	Entry       inventory.EntryID     `cbor:"entry"`
 	Incarnation inventory.Incarnation `cbor:"incarnation"`
-	Period      uint32                `cbor:"period"` // of the tokens that it accepts now
-	Leaving     bool                  `cbor:"leaving"`
-	Version     inventory.Version     `cbor:"version"` // configuration in force
-	Loads       []Load                `cbor:"loads"`
+	// Sequence grows with each heartbeat of an incarnation, whoever it is for.
+	Sequence uint64 `cbor:"sequence"`
+	Period   uint32 `cbor:"period"`  // of the tokens that it accepts now
+	Leaving  bool   `cbor:"leaving"` // it is to be left out of look-ups
+	// Resigned says that it takes no new work; what it still holds is in Holds.
+	Resigned bool `cbor:"resigned"`
+	// Stale says that it was paused and has not caught up yet.
+	Stale   bool              `cbor:"stale"`
+	Version inventory.Version `cbor:"version"` // configuration in force
+	Loads   []Load            `cbor:"loads"`
 	// Holds lists the endpoints that the sender sends work to, or still has
 	// work in flight at.
 	Holds []inventory.EndpointID `cbor:"holds"`
+	// Targets lists the endpoints of which the sender knows at first hand that
+	// they are leaving.
+	Targets []inventory.EndpointID `cbor:"targets"`
 	// Heard is the receiver's incarnation as the sender knows it, 0 if unknown.
 	Heard inventory.Incarnation `cbor:"heard"`
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -55,7 +55,7 @@
 func (n *Node) lookup(inv *inventory.Inventory, q lookup.Question) lookup.Answer {
 	now := time.Now()
 	tokens := map[inventory.EntryID]booking.Token{}
-	if !n.leaving() {
+	if !n.leaving() && !n.unlisted() {
 		tokens[n.settings.ID] = n.bookings.Token(now)
 	}
 	for _, m := range n.members.Live(now) {
--- a/node/counters.go
+++ b/node/counters.go
@@ -10,8 +10,10 @@
 
 func newCounters() counters { return counters{registry: metrics.NewRegistry()} }
 
-func (c counters) add(name string) {
-	metrics.GetOrRegisterCounter(name, c.registry).Inc(1)
+func (c counters) add(name string) { c.addN(name, 1) }
+
+func (c counters) addN(name string, count int64) {
+	metrics.GetOrRegisterCounter(name, c.registry).Inc(count)
 }
 
 // refusal counts a request that was refused by this node's decision.
--- a/node/error.go
+++ b/node/error.go
@@ -9,6 +9,7 @@
 	KindNetwork  Kind = "network"  // an address could not be bound or reached
 	KindPeer     Kind = "peer"     // another node answered something unexpected
 	KindTarget   Kind = "target"   // a target's answer is not whole or too large
+	KindCut      Kind = "cut"      // a stop ended with requests in flight
 	KindRequest  Kind = "request"  // a caller's request is not acceptable
 )
 
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 	"k8s.io/klog/v2"
 
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/member"
 )
@@ -58,7 +59,7 @@
 	}
 	if err != nil {
 		if isRefused(err) {
-			n.refused(e.ID, began)
+			n.dead(e.ID, began)
 		}
 		return
 	}
@@ -77,10 +78,14 @@
 func (n *Node) beat(ctx context.Context, conn *websocket.Conn, to inventory.EntryID) error {
 	ctx, cancel := context.WithTimeout(ctx, member.SuspectAfter)
 	defer cancel()
+	asked := time.Now()
 	if err := n.sendHeartbeat(ctx, conn, to); err != nil {
 		return err
 	}
-	_, err := n.readHeartbeat(ctx, conn)
+	h, err := n.readHeartbeat(ctx, conn)
+	if err == nil && !h.Stale && h.Version <= n.config.Version() {
+		n.endpoints.Resume(time.Now(), asked)
+	}
 	return err
 }
 
@@ -137,9 +142,13 @@
 		Entry:       n.settings.ID,
 		Incarnation: n.incarnation,
 		Period:      uint32(n.bookings.Token(now).Period),
-		Leaving:     n.leaving(),
+		Sequence:    n.sequence.Add(1),
+		Leaving:     n.leaving() || n.unlisted(),
+		Resigned:    n.endpoints.Resigned(),
+		Stale:       n.endpoints.Held(now),
 		Version:     n.config.Version(),
 		Holds:       n.endpoints.Holds(),
+		Targets:     n.endpoints.Claims(),
 		Heard:       n.members.Incarnation(to),
 	}
 	for _, l := range n.endpoints.Loads(now) {
@@ -151,20 +160,25 @@
 // heard takes in another node's state.
 func (n *Node) heard(h member.Heartbeat) {
 	now := time.Now()
-	n.members.Heard(now, h)
+	if !n.members.Heard(now, h) {
+		n.counters.add("member.late")
+		return
+	}
+	n.endpoints.Peer(now, h.Entry, h.Incarnation, h.Resigned)
+	n.endpoints.Leaving(now, endpoint.Source(h.Entry), h.Targets)
 	n.endpoints.Heard(now, h.Entry, h.Heard == n.incarnation, h.Holds)
 	if h.Version > n.config.Version() {
 		n.wakeFollower(h.Entry)
 	}
 }
 
-// refused takes in that a neighbour's address refused a connection.
-func (n *Node) refused(id inventory.EntryID, began time.Time) {
-	now := time.Now()
-	if n.members.Refused(id, began) {
+// dead takes in evidence, gathered since then, that a neighbour's process is
+// gone.
+func (n *Node) dead(id inventory.EntryID, since time.Time) {
+	if n.members.Dead(id, since) {
 		klog.V(1).InfoS("neighbour is dead", "entry", id)
 	}
-	n.endpoints.Dead(now, id, began)
+	n.endpoints.Dead(time.Now(), id, since)
 }
 
 // sleep waits for d or until ctx ends.
--- a/node/node.go
+++ b/node/node.go
@@ -34,7 +34,6 @@
 	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
-	"github.com/wasabiwheel/wasabiwheel/lookup"
 	"github.com/wasabiwheel/wasabiwheel/member"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/region"
@@ -45,9 +44,7 @@
 	idleTimeout   = 30 * time.Second       // of an unused connection
 	headerTimeout = 5 * time.Second        // to receive a request's header
 	tickInterval  = 100 * time.Millisecond // of what changes by time alone
-	leaveAfter    = lookup.TTL + member.SuspectAfter
-	stopLimit     = time.Minute // for the requests in flight at a stop
-	targetConns   = 330         // to one endpoint
+	targetConns   = 330                    // to one endpoint
 )
 
 // State of a node's life.
@@ -97,6 +94,7 @@
 
 	config    *configuration.Table
 	members   *member.Table
+	vms       *member.List
 	regions   *region.Table
 	endpoints *endpoint.Table
 	bookings  *booking.Table
@@ -108,6 +106,9 @@
 
 	ctx        context.Context // ends when the node has left
 	cancel     context.CancelFunc
+	aborted    context.Context // ends when a stop is to end at once
+	abort      context.CancelFunc
+	sequence   atomic.Uint64 // of heartbeats
 	background sync.WaitGroup
 	work       atomic.Int64 // requests and operations in flight
 	newer      chan inventory.EntryID
@@ -122,6 +123,7 @@
 		o.Network = &TCP{}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	aborted, abort := context.WithCancel(context.Background())
 	n := &Node{
 		settings:    s,
 		incarnation: newIncarnation(),
@@ -130,6 +132,7 @@
 		life:        fsm.NewFSM(string(StateStarting), life, nil),
 		config:      configuration.New(),
 		members:     member.New(s.ID),
+		vms:         member.NewList(s.Lag.Duration),
 		regions:     region.New(s.ID),
 		endpoints:   endpoint.New(s.ID),
 		targets:     &http.Client{Transport: newTransport(o.Network, targetConns), CheckRedirect: keepRedirect},
@@ -138,6 +141,8 @@
 		store:       platform.New(platform.Options{Base: s.Platform, HTTP: &http.Client{Transport: newTransport(o.Network, 0)}}),
 		ctx:         ctx,
 		cancel:      cancel,
+		aborted:     aborted,
+		abort:       abort,
 		newer:       make(chan inventory.EntryID, 1),
 		neighbours:  neighbours{stop: map[inventory.EntryID]context.CancelFunc{}},
 	}
@@ -148,10 +153,14 @@
 // keepRedirect passes a target's redirect on to the caller.
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// incarnationBits is the size of the random part of an incarnation.
+const incarnationBits = 16
+
 func newIncarnation() inventory.Incarnation {
-	var b [8]byte
+	var b [incarnationBits / 8]byte
 	_, _ = rand.Read(b[:]) // never fails
-	return inventory.Incarnation(binary.BigEndian.Uint64(b[:]) | 1)
+	start := uint64(time.Now().UnixMilli()) << incarnationBits
+	return inventory.Incarnation(start | uint64(binary.BigEndian.Uint16(b[:])))
 }
 
 // newPeerTransport speaks HTTP/2 without encryption between nodes.
@@ -183,9 +192,10 @@
 
 // Run serves until ctx ends, then leaves: it takes itself out of look-ups,
 // waits until callers know, finishes what is in flight, and returns. It fails
-// with an *Error when an address cannot be bound.
+// with an *Error when an address cannot be bound, or when the stop was cut short.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.cancel()
+	defer n.abort()
 	servers, err := n.open()
 	if err != nil {
 		return err
@@ -195,11 +205,12 @@
 	}
 	n.background.Go(func() { n.followStore(n.ctx) })
 	n.background.Go(func() { n.followPeers(n.ctx) })
+	n.background.Go(func() { n.followVMs(n.ctx) })
+	n.background.Go(func() { n.followHealth(n.ctx) })
 	n.background.Go(func() { n.tick(n.ctx) })
 	klog.InfoS("node started", "entry", n.settings.ID, "caller", n.settings.Caller, "peer", n.settings.Peer)
 	<-ctx.Done()
-	n.leave(servers)
-	return nil
+	return n.leave(servers)
 }
 
 // open binds the addresses, callers first. The peer address is bound before
@@ -210,7 +221,7 @@
 		address string
 		handler http.Handler
 	}{
-		{n.settings.Caller, n.callerHandler()},
+		{n.settings.Caller, n.closing(n.callerHandler())},
 		{n.settings.Admin, n.adminHandler()},
 		{n.settings.Peer, n.peerHandler()},
 	} {
@@ -241,32 +252,6 @@
 	}
 }
 
-// leave ends the node in order. The peer server ends last, since a refused
-// connection there tells others that nothing of this process is left.
-func (n *Node) leave(servers []server) {
-	n.move("leave")
-	klog.InfoS("node leaves", "entry", n.settings.ID)
-	sleep(n.ctx, leaveAfter)
-	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
-	defer cancel()
-	for _, s := range servers {
-		_ = s.http.Shutdown(ctx)
-		n.awaitWork(ctx)
-	}
-	n.move("stop")
-	n.cancel()
-	n.background.Wait()
-	klog.InfoS("node stopped", "entry", n.settings.ID)
-}
-
-// awaitWork waits until no operation is in flight, which may outlive the
-// connection of its caller.
-func (n *Node) awaitWork(ctx context.Context) {
-	for n.work.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, tickInterval)
-	}
-}
-
 // move takes a step in the node's life.
 func (n *Node) move(event string) { n.check("life", n.life.Event(context.Background(), event)) }
 
--- a/node/once.go
+++ b/node/once.go
@@ -34,6 +34,7 @@
 	v := n.bookings.Begin(time.Now(), *q.key, q.digest())
 	switch v.Action {
 	case booking.Start:
+		n.work.Add(1)
 		go n.runOnce(q)
 		return n.awaitBooking(ctx, q)
 	case booking.Join:
@@ -56,9 +57,9 @@
 	return notRun(ReasonMemory, 0)
 }
 
-// runOnce carries an operation to its end, whether or not its caller stays.
+// runOnce carries an operation to its end, whether or not its caller stays. It
+// is counted as work before it is started.
 func (n *Node) runOnce(q *request) {
-	n.work.Add(1)
 	defer n.work.Add(-1)
 	q.booked = true
 	a := n.steer(context.Background(), q)
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -51,6 +51,7 @@
 	ReasonDiffers     Reason = "differs"     // the key was used for another request
 	ReasonStarting    Reason = "starting"    // the node has no configuration yet
 	ReasonBudget      Reason = "budget"      // no retry left
+	ReasonPaused      Reason = "paused"      // the endpoint began to leave, or this process was paused
 	ReasonShed        Reason = "shed"        // the target refused
 )
 
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -45,8 +45,10 @@
 // rigNode is one running node.
 type rigNode struct {
 	*Node
-	stop context.CancelFunc
-	done chan struct{}
+	stop    context.CancelFunc
+	done    chan struct{}
+	mayFail bool
+	failure error
 }
 
 // bubble runs a test of a rig on a paused clock. The inventory is in force and
@@ -135,8 +137,9 @@
 	r.nodes[id] = n
 	go func() {
 		defer close(n.done)
-		if err := n.Run(ctx); err != nil {
-			r.t.Error(err)
+		n.failure = n.Run(ctx)
+		if n.failure != nil && !n.mayFail {
+			r.t.Error(n.failure)
 		}
 	}()
 	return n
@@ -220,6 +223,7 @@
 	header  http.Header
 	body    []byte
 	echo    standin.Echo
+	closed  bool // the node asked for the end of the connection
 	err     error
 }
 
@@ -239,7 +243,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	p := reply{status: resp.StatusCode, outcome: Outcome(resp.Header.Get(HeaderOutcome)), header: resp.Header, body: data, err: err}
+	p := reply{status: resp.StatusCode, outcome: Outcome(resp.Header.Get(HeaderOutcome)), header: resp.Header, closed: resp.Close, body: data, err: err}
 	if p.outcome == "" {
 		p.outcome = OutcomeRan
 		_ = json.Unmarshal(data, &p.echo)
--- a/node/settings.go
+++ b/node/settings.go
@@ -23,6 +23,8 @@
 	// Bootstrap lists peer addresses to ask for the configuration while the
 	// platform does not answer.
 	Bootstrap []string `toml:"bootstrap"`
+	// Lag is by how much the platform's list of VMs may be late.
+	Lag inventory.Duration `toml:"lag"`
 }
 
 // ReadSettings reads and checks a settings file. It fails with an
@@ -70,6 +72,9 @@
 	if u, err := url.Parse(s.Platform); err != nil || u.Scheme == "" || u.Host == "" {
 		return "platform", errors.Newf("%q is not a URL", s.Platform)
 	}
+	if s.Lag.Duration < 0 {
+		return "lag", errors.New("lag is negative")
+	}
 	for _, b := range s.Bootstrap {
 		if err := checkAddress(b); err != nil {
 			return "bootstrap", err
--- a/node/steer.go
+++ b/node/steer.go
@@ -123,7 +123,12 @@
 // else at its deadline, which the target knows.
 func (n *Node) sendToTarget(ctx context.Context, s endpoint.Slot, q *request) answer {
 	began := time.Now()
+	if !n.endpoints.MayStart(began, s) {
+		n.endpoints.Release(began, s, 0)
+		return notRun(ReasonPaused, 0)
+	}
 	a := send(ctx, n.targets, "http://"+s.Address+q.path, q)
+	n.noteSignal(s.Endpoint, a)
 	if a.outcome == OutcomeUnknown {
 		time.AfterFunc(time.Until(q.deadline), func() { n.endpoints.Release(time.Now(), s, 0) })
 		return a
--- /dev/null
+++ b/node/vms.go
@@ -0,0 +1,179 @@
+package node
+
+// Following the platform's list of VMs, and what endpoints say of themselves:
+// which targets are leaving, and which silent entry VMs are gone.
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/configuration"
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/member"
+	"github.com/wasabiwheel/wasabiwheel/platform"
+)
+
+// HeaderLeaving on any answer of an endpoint, with the value 1, says that it is
+// leaving and is to get no new work.
+const HeaderLeaving = "Wasabiwheel-Leaving"
+
+// pathHealth is where an endpoint is asked for its state. The answer 503 means
+// that it is leaving, any other without HeaderLeaving that it is not.
+const pathHealth = "/health"
+
+// Timing of what is read at intervals.
+const (
+	listInterval     = 500 * time.Millisecond // of the nodes that read the list for their failure domain
+	spareInterval    = 10 * time.Second       // of the others
+	healthInterval   = time.Second
+	healthTimeout    = time.Second
+	healthConcurrent = 8
+)
+
+// followVMs reads the list of VMs until ctx ends.
+func (n *Node) followVMs(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.readVMs(ctx)
+		sleep(ctx, n.listPause())
+	}
+}
+
+// listPause keeps the readings of the whole fleet within what the platform
+// serves: a few nodes of each failure domain read often and tell the others.
+func (n *Node) listPause() time.Duration {
+	inv := n.config.Inventory()
+	if inv == nil || member.Reads(inv, n.settings.ID, n.lives) {
+		return listInterval
+	}
+	return spareInterval
+}
+
+// lives reports whether an entry VM was heard of lately.
+func (n *Node) lives(id inventory.EntryID) bool {
+	return id == n.settings.ID || n.members.Lives(time.Now(), id)
+}
+
+func (n *Node) readVMs(ctx context.Context) {
+	began := time.Now()
+	rows, err := n.store.VMs(ctx)
+	if err != nil {
+		n.counters.add("list.failure")
+		return
+	}
+	vms := make([]member.VM, 0, len(rows))
+	for _, r := range rows {
+		vms = append(vms, member.VM{Address: r.Address, Leaving: r.State == platform.StateLeaving})
+	}
+	n.vms.Read(began, vms)
+	if inv := n.config.Inventory(); inv != nil {
+		n.judgeTargets(inv)
+		n.judgeEntries(inv)
+	}
+	if n.endpoints.Held(time.Now()) {
+		n.catchUp(ctx, began)
+	}
+}
+
+// catchUp ends the hold after a pause if the store has nothing newer than what
+// is in force here.
+func (n *Node) catchUp(ctx context.Context, asked time.Time) {
+	obj, err := n.store.Get(ctx, configuration.HeadName)
+	if err != nil {
+		return
+	}
+	head, err := configuration.ParseHead(obj.Value)
+	if err == nil && head.Version <= n.config.Version() {
+		n.endpoints.Resume(time.Now(), asked)
+	}
+}
+
+func (n *Node) judgeTargets(inv *inventory.Inventory) {
+	var leaving []inventory.EndpointID
+	for _, e := range inv.Endpoints {
+		if n.vms.Leaving(hostOnly(e.Address)) {
+			leaving = append(leaving, e.ID)
+		}
+	}
+	n.endpoints.Leaving(time.Now(), endpoint.SourceList, leaving)
+}
+
+// judgeEntries looks for entry VMs that are proved to be gone.
+func (n *Node) judgeEntries(inv *inventory.Inventory) {
+	for _, e := range inv.Entries {
+		m, _ := n.members.Get(e.ID)
+		if e.ID == n.settings.ID || m.Dead {
+			continue
+		}
+		if since, gone := n.vms.Gone(hostOnly(e.Peer), m.Last); gone {
+			n.counters.add("member.gone")
+			n.dead(e.ID, since)
+		}
+	}
+}
+
+// unlisted reports whether the platform says that this node's VM is leaving.
+func (n *Node) unlisted() bool { return n.vms.Leaving(hostOnly(n.settings.Peer)) }
+
+func hostOnly(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// followHealth asks the endpoints that this node owns for their state, until
+// ctx ends. Only the owner asks.
+func (n *Node) followHealth(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.askEndpoints(ctx)
+		sleep(ctx, healthInterval)
+	}
+}
+
+// askEndpoints asks them a few at a time, so that one that does not answer
+// holds up no more than itself.
+func (n *Node) askEndpoints(ctx context.Context) {
+	room := make(chan struct{}, healthConcurrent)
+	for _, e := range n.endpoints.Owned() {
+		room <- struct{}{}
+		n.background.Go(func() {
+			defer func() { <-room }()
+			n.askEndpoint(ctx, e)
+		})
+	}
+}
+
+func (n *Node) askEndpoint(ctx context.Context, e inventory.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+pathHealth, nil)
+	if err != nil {
+		return
+	}
+	resp, err := n.targets.Do(req)
+	if err != nil {
+		n.counters.add("health.failure")
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	leaving := resp.StatusCode == http.StatusServiceUnavailable || resp.Header.Get(HeaderLeaving) == "1"
+	n.endpoints.Signal(time.Now(), e.ID, leaving)
+}
+
+// noteSignal takes in what an endpoint says of itself on an answer. An answer
+// without the header may be older than one with it, so it proves nothing.
+func (n *Node) noteSignal(id inventory.EndpointID, a answer) {
+	if a.header.Get(HeaderLeaving) != "1" {
+		return
+	}
+	a.header.Del(HeaderLeaving)
+	n.counters.add("endpoint.leaving")
+	klog.V(1).InfoS("endpoint is leaving", "endpoint", id)
+	n.endpoints.Signal(time.Now(), id, true)
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -92,11 +92,16 @@
 }
 
 // ServeHTTP serves the object API, the VM list, and under /fault the means to
-// make it misbehave from another process.
+// make it misbehave from another process; /truth takes what the VM list is to
+// say.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/fault" {
+	switch r.URL.Path {
+	case "/fault":
 		p.serveFault(w, r)
 		return
+	case "/truth":
+		p.serveTruth(w, r)
+		return
 	}
 	fault := p.enter()
 	if !pause(r.Context(), fault.Delay) {
@@ -147,6 +152,15 @@
 	p.SetFault(f)
 }
 
+func (p *Platform) serveTruth(w http.ResponseWriter, r *http.Request) {
+	var vms []platform.VM
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxValue)).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetVMs(vms)
+}
+
 func (p *Platform) serveVMs(w http.ResponseWriter) {
 	p.mu.Lock()
 	p.counts.Reads++
--- a/standin/target.go
+++ b/standin/target.go
@@ -28,6 +28,7 @@
 	Backlog  int           `json:"backlog"`  // requests that may wait, others are refused with 503; 0: all
 	Cold     int           `json:"cold"`     // first requests that take ColdFactor times as long
 	Mislead  bool          `json:"mislead"`  // report no load whatever there is
+	Leaving  bool          `json:"leaving"`  // say so on each answer
 }
 
 // ColdFactor is how much longer a request takes on a cold cache.
@@ -94,6 +95,8 @@
 		_ = json.NewEncoder(w).Encode(t.Ledger())
 	case "/behaviour":
 		t.serveBehaviour(w, r)
+	case "/health":
+		t.serveHealth(w)
 	case "/load":
 		_ = json.NewEncoder(w).Encode(t.Load())
 	default:
@@ -110,6 +113,18 @@
 	t.SetBehaviour(b)
 }
 
+// headerLeaving is how a target says that it is leaving.
+const headerLeaving = "Wasabiwheel-Leaving"
+
+func (t *Target) serveHealth(w http.ResponseWriter) {
+	t.mu.Lock()
+	leaving := t.behaviour.Leaving
+	t.mu.Unlock()
+	if leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
+}
+
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -247,6 +262,9 @@
 	if err != nil {
 		return
 	}
+	if b.Leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if !b.Truncate && !b.Stall {
