--- a/node/baseline_test.go
+++ b/node/baseline_test.go
@@ -196,6 +196,10 @@
 		o.mu.Unlock()
 		return p, true
 	}
+	if len(o.waiting[q.service.ID]) >= o.slots(q.service.ID) {
+		o.mu.Unlock()
+		return inventory.Endpoint{}, false
+	}
 	ready := make(chan inventory.Endpoint, 1)
 	o.waiting[q.service.ID] = append(o.waiting[q.service.ID], ready)
 	o.mu.Unlock()
@@ -207,6 +211,15 @@
 	return o.giveUp(q.service.ID, ready)
 }
 
+// slots bounds the queue of a service, so that its wait is about one request.
+func (o *oracle) slots(s inventory.ServiceID) int {
+	sum := 0
+	for _, p := range o.x.r.inv.EndpointsOf(s) {
+		sum += p.Slots
+	}
+	return sum
+}
+
 // giveUp leaves the queue, unless a slot was handed out meanwhile.
 func (o *oracle) giveUp(s inventory.ServiceID, ready chan inventory.Endpoint) (inventory.Endpoint, bool) {
 	o.mu.Lock()
--- a/node/table_test.go
+++ b/node/table_test.go
@@ -20,7 +20,11 @@
 	"github.com/wasabiwheel/wasabiwheel/examples"
 )
 
-var fullTable = flag.Bool("full", false, "run all scenarios of the steering experiment and write the table and the plot")
+var (
+	fullTable = flag.Bool("full", false, "run all scenarios of the steering experiment and write the table and the plots")
+	fullTime  = flag.Duration("fulltime", 10*time.Second, "measured time of each run of the table")
+	fullOnly  = flag.String("fullonly", "", "only this scenario, and no plots")
+)
 
 // Goals of steady load, as the users state them.
 const (
@@ -68,19 +72,25 @@
 // runTable runs everything, prints the table and writes a plot for each
 // deployment.
 func runTable(t *testing.T) {
-	const fullRun, seed = 10 * time.Second, 1
+	const seed = 1
 	fmt.Println("| deployment | scenario | system | p50 ms | p99 ms | good/s | refused | other | peak endpoint | peak region | twice |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
 	for d, text := range deployments {
 		rows := map[string][]measure{}
 		for _, sc := range scenarioOrder {
+			if *fullOnly != "" && *fullOnly != sc {
+				continue
+			}
 			for _, name := range systemOrder {
-				m := runExperiment(t, text, scenarios[sc], systems[name], fullRun, seed)
+				m := runExperiment(t, text, scenarios[sc], systems[name], *fullTime, seed)
 				rows[name] = append(rows[name], m)
 				fmt.Printf("| %s | %s | %s | %.0f | %.0f | %.0f | %d | %d | %.2f | %.2f | %d |\n", d, sc, name,
 					millis(m.P50), millis(m.P99), m.Rate, m.Refused, m.Other, m.Peak, m.Region, m.Twice)
 			}
 		}
+		if *fullOnly != "" {
+			continue
+		}
 		if err := plotRows("../docs/steering-"+d+".svg", d, rows); err != nil {
 			t.Error(err)
 		}
