--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -30,6 +30,7 @@
 type Slot struct {
 	Endpoint inventory.EndpointID
 	Address  string
+	point    *point
 }
 
 // Ticket is a place in the queue. Ready yields the slot.
@@ -102,7 +103,8 @@
 	if t.inv == nil {
 		return 0
 	}
-	return t.deadlineOf(id)
+	s, _ := t.inv.Service(id)
+	return s.Deadline.Duration
 }
 
 // take occupies a slot of the least used endpoint of a service.
@@ -123,7 +125,7 @@
 		return Slot{}, false
 	}
 	best.busy++
-	return Slot{Endpoint: best.ID, Address: best.Address}, true
+	return Slot{Endpoint: best.ID, Address: best.Address, point: best}, true
 }
 
 // less orders endpoints by the share of slots in use, then by id.
@@ -140,23 +142,23 @@
 func (t *Table) Release(now time.Time, s Slot, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, ok := t.points[s.Endpoint]
-	if !ok {
-		return
-	}
+	p := s.point
 	p.busy--
 	if took > 0 {
 		q := t.queueOf(p.Service)
 		q.mean += time.Duration(smoothing * float64(took-q.mean))
 	}
-	if p.busy == 0 && !t.declared(s.Endpoint) {
-		delete(t.points, s.Endpoint)
+	if p.busy == 0 && !t.mine(p.Address) {
+		delete(t.points, p.Address)
 	}
 	t.dispatch(now)
 }
 
-func (t *Table) declared(id inventory.EndpointID) bool {
-	return slices.ContainsFunc(t.inv.Endpoints, func(e inventory.Endpoint) bool { return e.ID == id })
+// mine reports whether this node may own the endpoint at an address.
+func (t *Table) mine(address string) bool {
+	return slices.ContainsFunc(t.inv.Endpoints, func(e inventory.Endpoint) bool {
+		return e.Address == address && slices.Contains(Rank(t.inv, e), t.self)
+	})
 }
 
 // Cancel takes a request out of the queue. When its slot has been handed out
--- a/endpoint/leave.go
+++ b/endpoint/leave.go
@@ -39,13 +39,6 @@
 	held   bool      // nothing new starts until others were asked
 }
 
-// peer is what ownership needs to know of another node.
-type peer struct {
-	incarnation inventory.Incarnation
-	resigned    bool      // it takes no more work and owns nothing
-	died        time.Time // when an incarnation that had not resigned was known to be gone
-}
-
 // Leaving replaces the set of endpoints of which a source says that they are
 // leaving. The first source that says so counts.
 func (t *Table) Leaving(now time.Time, from Source, ids []inventory.EndpointID) {
@@ -120,8 +113,7 @@
 func (t *Table) MayStart(now time.Time, s Slot) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, ok := t.points[s.Endpoint]
-	return ok && !p.drained && !t.leaves(s.Endpoint) && t.awake(now)
+	return !s.point.drained && !t.leaves(s.Endpoint) && t.awake(now)
 }
 
 // awake notices a pause of the process by the time since the last tick, and
@@ -192,21 +184,6 @@
 	}
 }
 
-// Peer takes in which incarnation of another node is heard, and whether it has
-// resigned. It comes before Heard. An incarnation that was replaced before it
-// had resigned may have left work behind.
-func (t *Table) Peer(now time.Time, id inventory.EntryID, i inventory.Incarnation, resigned bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p := t.peers[id]
-	if p.incarnation != i && !p.resigned {
-		p.died = now
-	}
-	p.incarnation = i
-	p.resigned = resigned
-	t.peers[id] = p
-}
-
 // lost takes in that the newest incarnation of another node is gone.
 func (t *Table) lost(now time.Time, id inventory.EntryID) {
 	p := t.peers[id]
@@ -220,17 +197,17 @@
 // passedOver reports whether a candidate that lives leaves the endpoint to
 // those behind it.
 func (t *Table) passedOver(p *point, id inventory.EntryID) bool {
-	return t.peers[id].resigned && p.cleared[id]
+	return t.peers[id].resigned && p.said[id] == saidFree
 }
 
 // clearAt is when whatever an earlier owner sent to an endpoint has ended: the
-// service's deadline after each event that may have left work behind.
+// longest deadline after each event that may have left work behind.
 func (t *Table) clearAt(p *point) time.Time {
 	last := p.changed
-	for _, id := range p.rank {
+	for _, id := range slices.Concat(p.rank, t.formerOf(p)) {
 		if died := t.peers[id].died; died.After(last) {
 			last = died
 		}
 	}
-	return last.Add(t.deadlineOf(p.Service))
+	return last.Add(t.inv.Rules.Deadline.Duration + Transit)
 }
--- a/endpoint/rank.go
+++ b/endpoint/rank.go
@@ -11,10 +11,6 @@
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 )
 
-// maxCandidates bounds how many entry VMs may own one endpoint, and so how
-// many must be heard of before one of them takes it over.
-const maxCandidates = 3
-
 // score is the rendezvous weight of an entry VM for an endpoint.
 func score(entry inventory.EntryID, e inventory.EndpointID) uint64 {
 	return xxhash.Sum64String(string(entry) + "\x00" + string(e))
@@ -32,9 +28,6 @@
 		ranked = slices.DeleteFunc(ranked, func(x inventory.Entry) bool { return !near(x) })
 	}
 	slices.SortFunc(ranked, func(a, b inventory.Entry) int { return compare(e, a, b) })
-	if len(ranked) > maxCandidates {
-		ranked = ranked[:maxCandidates]
-	}
 	ids := make([]inventory.EntryID, 0, len(ranked))
 	for _, x := range ranked {
 		ids = append(ids, x.ID)
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -60,6 +60,7 @@
 	c.rules()
 	c.places()
 	c.serviceTable()
+	c.longestDeadline()
 	c.endpoints()
 	c.links()
 	c.entryTable()
@@ -181,6 +182,20 @@
 	c.inv.index()
 }
 
+// longestDeadline holds each service's deadline against that of the rules.
+func (c *checker) longestDeadline() {
+	longest := &c.inv.Rules.Deadline.Duration
+	declared := *longest != 0
+	for i, s := range c.inv.Services {
+		if declared && s.Deadline.Duration > *longest {
+			c.fail(KindRange, "service", i, "deadline", "deadline %s is longer than that of the rules, %s", s.Deadline, *longest)
+		}
+		if !declared {
+			*longest = max(*longest, s.Deadline.Duration)
+		}
+	}
+}
+
 func (c *checker) endpoints() {
 	addresses := map[string]EndpointID{}
 	for i, e := range c.inv.Endpoints {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -148,6 +148,9 @@
 	Weigh Weigh `toml:"weigh"`
 	// DomainDelay is the one-way delay between two domains of a region.
 	DomainDelay Duration `toml:"delay"`
+	// Deadline bounds the deadline of every service, in this version and in
+	// those before it. Without it, the longest deadline of this version counts.
+	Deadline Duration `toml:"deadline"`
 }
 
 // Inventory is one complete, checked version of what the operators declare.
--- a/member/message.go
+++ b/member/message.go
@@ -43,6 +43,11 @@
 	Targets []inventory.EndpointID `cbor:"targets"`
 	// Heard is the receiver's incarnation as the sender knows it, 0 if unknown.
 	Heard inventory.Incarnation `cbor:"heard"`
+	// The rest of the sender's word on endpoints, see package endpoint.
+	Number uint64                 `cbor:"number"`
+	Echo   uint64                 `cbor:"echo"`
+	Plans  []uint64               `cbor:"plans"`
+	Wants  []inventory.EndpointID `cbor:"wants"`
 }
 
 // Encode returns the CBOR form of a heartbeat.
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/coder/websocket"
@@ -16,26 +17,34 @@
 	"github.com/wasabiwheel/wasabiwheel/member"
 )
 
+// beatLoop is a running heartbeat loop to an address.
+type beatLoop struct {
+	peer string
+	stop context.CancelFunc
+}
+
 // neighbours keeps one heartbeat loop running for each other entry VM.
 type neighbours struct {
-	stop map[inventory.EntryID]context.CancelFunc
+	loops map[inventory.EntryID]beatLoop
 }
 
-// follow starts and ends loops so that there is one for each entry VM of the
-// inventory. It is called under the node's configuration lock.
+// followNeighbours starts and ends loops so that there is one for each entry VM
+// of the inventory, and for those left out that are still awaited. It is called under the node's configuration lock.
 func (n *Node) followNeighbours(inv *inventory.Inventory) {
-	for id, stop := range n.neighbours.stop {
-		if _, ok := inv.Entry(id); !ok {
-			stop()
-			delete(n.neighbours.stop, id)
+	awaited := n.endpoints.Awaited()
+	for id, old := range n.neighbours.loops {
+		e, ok := inv.Entry(id)
+		if (ok && e.Peer != old.peer) || (!ok && !slices.Contains(awaited, id)) {
+			old.stop()
+			delete(n.neighbours.loops, id)
 		}
 	}
 	for _, e := range inv.Entries {
-		if _, running := n.neighbours.stop[e.ID]; running || e.ID == n.settings.ID {
+		if _, running := n.neighbours.loops[e.ID]; running || e.ID == n.settings.ID {
 			continue
 		}
 		ctx, stop := context.WithCancel(n.ctx)
-		n.neighbours.stop[e.ID] = stop
+		n.neighbours.loops[e.ID] = beatLoop{peer: e.Peer, stop: stop}
 		n.background.Go(func() { n.beatLoop(ctx, e) })
 	}
 }
@@ -58,7 +67,7 @@
 		defer func() { _ = resp.Body.Close() }()
 	}
 	if err != nil {
-		if isRefused(err) {
+		if isRefused(err) && !n.moved(e) {
 			n.dead(e.ID, began)
 		}
 		return
@@ -144,13 +153,11 @@
 		Period:      uint32(n.bookings.Token(now).Period),
 		Sequence:    n.sequence.Add(1),
 		Leaving:     n.leaving() || n.unlisted(),
-		Resigned:    n.endpoints.Resigned(),
 		Stale:       n.endpoints.Held(now),
 		Version:     n.config.Version(),
-		Holds:       n.endpoints.Holds(),
 		Targets:     n.endpoints.Claims(),
-		Heard:       n.members.Incarnation(to),
 	}
+	putWord(&h, n.endpoints.Word(to))
 	for _, l := range n.endpoints.Loads(now) {
 		h.Loads = append(h.Loads, member.Load(l))
 	}
@@ -164,14 +171,20 @@
 		n.counters.add("member.late")
 		return
 	}
-	n.endpoints.Peer(now, h.Entry, h.Incarnation, h.Resigned)
 	n.endpoints.Leaving(now, endpoint.Source(h.Entry), h.Targets)
-	n.endpoints.Heard(now, h.Entry, h.Heard == n.incarnation, h.Holds)
+	n.endpoints.Heard(now, wordOf(h))
 	if h.Version > n.config.Version() {
 		n.wakeFollower(h.Entry)
 	}
 }
 
+// moved reports whether the configuration has changed the address of an entry
+// VM, so that what the old one shows means nothing.
+func (n *Node) moved(e inventory.Entry) bool {
+	x, ok := n.config.Inventory().Entry(e.ID)
+	return ok && x.Peer != e.Peer
+}
+
 // dead takes in evidence, gathered since then, that a neighbour's process is
 // gone.
 func (n *Node) dead(id inventory.EntryID, since time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -135,7 +135,6 @@
 		members:     member.New(s.ID),
 		vms:         member.NewList(s.Lag.Duration),
 		regions:     region.New(s.ID, newRandom()),
-		endpoints:   endpoint.New(s.ID),
 		targets:     &http.Client{Transport: newTransport(o.Network, targetConns), CheckRedirect: keepRedirect},
 		peers:       &http.Client{Transport: newPeerTransport(o.Network), CheckRedirect: keepRedirect},
 		beats:       newBeatClient(o.Network),
@@ -145,9 +144,10 @@
 		aborted:     aborted,
 		abort:       abort,
 		newer:       make(chan inventory.EntryID, 1),
-		neighbours:  neighbours{stop: map[inventory.EntryID]context.CancelFunc{}},
+		neighbours:  neighbours{loops: map[inventory.EntryID]beatLoop{}},
 	}
 	n.grants = newGrants(s.ID)
+	n.endpoints = endpoint.New(s.ID, n.incarnation)
 	n.bookings = booking.New(s.ID, n.incarnation, o.Bookings, time.Now())
 	return n
 }
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/lookup"
+	"github.com/wasabiwheel/wasabiwheel/member"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
@@ -158,7 +159,7 @@
 	delete(r.nodes, id)
 }
 
-// settle waits until each slot has an owner.
+// settle waits until each slot has an owner and the nodes have told each other.
 func (r *rig) settle() {
 	r.t.Helper()
 	want := 0
@@ -167,6 +168,7 @@
 	}
 	for range 600 {
 		if r.slots() == want {
+			time.Sleep(2 * member.Interval)
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/node/steer.go
+++ b/node/steer.go
@@ -131,7 +131,7 @@
 	a := send(ctx, n.targets, "http://"+s.Address+q.path, q)
 	n.noteSignal(s.Endpoint, a)
 	if a.outcome == OutcomeUnknown {
-		time.AfterFunc(time.Until(q.deadline), func() { n.endpoints.Release(time.Now(), s, 0) })
+		time.AfterFunc(time.Until(q.deadline)+endpoint.Transit, func() { n.endpoints.Release(time.Now(), s, 0) })
 		return a
 	}
 	n.endpoints.Release(time.Now(), s, time.Since(began))
