--- a/node/admin.go
+++ b/node/admin.go
@@ -22,6 +22,8 @@
 	Version     inventory.Version      `json:"version"`
 	Members     []inventory.EntryID    `json:"members"`
 	Holds       []inventory.EndpointID `json:"holds"`
+	Leaving     []inventory.EndpointID `json:"leaving"` // endpoints that leave, by this node's own knowledge
+	Work        int                    `json:"work"`    // callers' requests and operations in flight
 	Loads       []member.Load          `json:"loads"`
 	Counters    map[string]int64       `json:"counters"`
 }
@@ -44,6 +46,8 @@
 		State:       n.state(),
 		Version:     n.config.Version(),
 		Holds:       n.endpoints.Holds(),
+		Leaving:     n.endpoints.Claims(),
+		Work:        int(n.work.Load()),
 		Counters:    n.counters.snapshot(),
 	}
 	for _, m := range n.members.Live(now) {
