Tell neighbours at once when the slots offered change; status tells the reach

Cause: the process test got 503 noplace right after each slot had an owner: the owner knew, the others learnt it up to a heartbeat later. Ruled out: ownership itself (the owner's status was whole). Heartbeat loops are now woken when the slots offered change, and the tests and try wait until every node knows all slots.

--- a/cmd/wasabiwheel/leave_test.go
+++ b/cmd/wasabiwheel/leave_test.go
@@ -169,7 +169,7 @@
 		state, err := nodes[0].Process.Wait()
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(state.ExitCode(), convey.ShouldEqual, 0)
-		eventually(t, "the others own all slots", func() bool { return ownedSlots(inv) == allSlots(inv) })
+		eventually(t, "the others own all slots", func() bool { return allOwned(inv, len(inv.Entries)-1) })
 	})
 	convey.Convey("A second signal ends the stop at once, with what was cut told by the exit code", t, func() {
 		statuses := slowRequests(t, inv, inv.Entries[1], 2)
--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -136,7 +136,7 @@
 	for _, s := range writeSettings(t, inv) {
 		nodes = append(nodes, start(t, "node", "--settings", s))
 	}
-	eventually(t, "all slots have an owner", func() bool { return ownedSlots(inv) == allSlots(inv) })
+	eventually(t, "all slots have an owner", func() bool { return allOwned(inv, len(inv.Entries)) })
 	return inv, nodes
 }
 
@@ -148,18 +148,26 @@
 	return sum
 }
 
-func ownedSlots(inv *inventory.Inventory) int {
-	sum := 0
+// ownedSlots is the number of slots with an owner that each of the nodes that
+// answer knows of, and how many answer.
+func ownedSlots(inv *inventory.Inventory) (slots, nodes int) {
+	slots = allSlots(inv)
 	for _, e := range inv.Entries {
 		var s node.Status
 		if getJSON("http://"+e.Admin+node.PathStatus, &s) != nil {
 			continue
 		}
-		for _, l := range s.Loads {
-			sum += l.Slots
-		}
+		nodes++
+		slots = min(slots, reachOf(s))
 	}
-	return sum
+	return slots, nodes
+}
+
+// allOwned reports whether at least this many nodes answer and each of them
+// knows owners of all slots.
+func allOwned(inv *inventory.Inventory, nodes int) bool {
+	slots, answering := ownedSlots(inv)
+	return answering >= nodes && slots == allSlots(inv)
 }
 
 // call sends one request to an entry VM.
--- a/cmd/wasabiwheel/soak_test.go
+++ b/cmd/wasabiwheel/soak_test.go
@@ -248,7 +248,7 @@
 // restore ends all faults and waits until each slot has an owner again.
 func (s *soak) restore() {
 	s.fault(standin.Fault{})
-	eventually(s.t, "all slots have an owner again", func() bool { return ownedSlots(s.inv) == allSlots(s.inv) })
+	eventually(s.t, "all slots have an owner again", func() bool { return allOwned(s.inv, len(s.inv.Entries)) })
 }
 
 func (s *soak) ledger(e inventory.Endpoint) standin.Ledger {
--- a/cmd/wasabiwheel/try.go
+++ b/cmd/wasabiwheel/try.go
@@ -137,17 +137,27 @@
 	return &Error{Op: "try", Kind: KindFailed, Err: errors.Newf("%d of %d slots owned after %s", t.slots(), want, tryReady)}
 }
 
+// slots is the number of slots with an owner that every node knows of.
 func (t *trial) slots() int {
-	sum := 0
+	least := -1
 	for _, e := range t.inv.Entries {
 		var s node.Status
 		if getJSON("http://"+e.Admin+node.PathStatus, &s) != nil {
-			continue
+			return 0
 		}
-		for _, l := range s.Loads {
-			sum += l.Slots
+		if n := reachOf(s); least < 0 || n < least {
+			least = n
 		}
 	}
+	return least
+}
+
+// reachOf is the number of slots that a node knows of.
+func reachOf(s node.Status) int {
+	sum := 0
+	for _, l := range s.Reach {
+		sum += l.Slots
+	}
 	return sum
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -25,7 +25,9 @@
 	Leaving     []inventory.EndpointID `json:"leaving"` // endpoints that leave, by this node's own knowledge
 	Work        int                    `json:"work"`    // callers' requests and operations in flight
 	Loads       []member.Load          `json:"loads"`
-	Counters    map[string]int64       `json:"counters"`
+	// Reach is what this node knows of all nodes that own endpoints.
+	Reach    []member.Load    `json:"reach"`
+	Counters map[string]int64 `json:"counters"`
 }
 
 func (n *Node) adminHandler() http.Handler {
@@ -55,6 +57,18 @@
 	}
 	for _, l := range n.endpoints.Loads(now) {
 		s.Loads = append(s.Loads, member.Load(l))
+		s.Reach = append(s.Reach, n.reach(l.Service))
 	}
 	return s
 }
+
+// reach sums up the places of a service, this node among them.
+func (n *Node) reach(id inventory.ServiceID) member.Load {
+	sum := member.Load{Service: id}
+	for _, p := range n.places(id) {
+		sum.Free += p.Free
+		sum.Slots += p.Slots
+		sum.Queue += p.Queue
+	}
+	return sum
+}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -79,7 +79,7 @@
 			klog.V(1).InfoS("heartbeat failed", "entry", e.ID, "err", err)
 			return
 		}
-		sleep(ctx, member.Interval)
+		n.news.await(ctx, member.Interval)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -116,6 +116,7 @@
 	grants     grants
 	applying   sync.Mutex
 	neighbours neighbours
+	news       *news
 }
 
 // New returns a node that does nothing yet.
@@ -144,6 +145,7 @@
 		aborted:     aborted,
 		abort:       abort,
 		newer:       make(chan inventory.EntryID, 1),
+		news:        newNews(),
 		neighbours:  neighbours{loops: map[inventory.EntryID]beatLoop{}},
 	}
 	n.grants = newGrants(s.ID)
@@ -250,6 +252,7 @@
 	for ctx.Err() == nil {
 		n.endpoints.Tick(time.Now())
 		n.regions.Tick(time.Now())
+		n.news.note(n.endpoints.Loads(time.Now()))
 		if n.config.Version() > 0 && n.state() == StateStarting {
 			n.move("serve")
 		}
