--- a/standin/target.go
+++ b/standin/target.go
@@ -29,6 +29,7 @@
 	Cold     int           `json:"cold"`     // first requests that take ColdFactor times as long
 	Mislead  bool          `json:"mislead"`  // report no load whatever there is
 	Leaving  bool          `json:"leaving"`  // say so on each answer
+	Deaf     bool          `json:"deaf"`     // work on when the sender has gone
 }
 
 // ColdFactor is how much longer a request takes on a cold cache.
@@ -136,7 +137,11 @@
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
-	if !t.work(r.Context(), b) {
+	ctx := r.Context()
+	if b.Deaf {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if !t.work(ctx, b) {
 		return
 	}
 	t.answer(w, r, b, body)
