--- a/cmd/wasabiwheel/freeze_test.go
+++ b/cmd/wasabiwheel/freeze_test.go
@@ -13,7 +13,6 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/wasabiwheel/wasabiwheel/inventory"
-	"github.com/wasabiwheel/wasabiwheel/node"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
@@ -49,17 +48,11 @@
 	eventually(t, "requests are served", func() bool { return p.served.Load() >= until })
 }
 
-func statusOf(e inventory.Entry) node.Status {
-	var s node.Status
-	_ = getJSON("http://"+e.Admin+node.PathStatus, &s)
-	return s
-}
-
 func TestFrozenOwnerThatWakesOverrunsNoEndpoint(t *testing.T) {
 	inv, nodes := startSystem(t, "testdata/small.toml")
 	convey.Convey("The owner of an endpoint is frozen under load until the others miss it, and wakes", t, func() {
 		owner := slices.IndexFunc(inv.Entries, func(e inventory.Entry) bool {
-			return slices.Contains(statusOf(e).Holds, "catalogue-1")
+			return slices.Contains(statusOf(t, e).Holds, "catalogue-1")
 		})
 		convey.So(owner, convey.ShouldBeGreaterThanOrEqualTo, 0)
 		other := inv.Entries[(owner+1)%len(inv.Entries)]
@@ -70,12 +63,12 @@
 		p.awaitMore(t, 100)
 		freeze(t, nodes[owner], func() {
 			eventually(t, "the others miss it", func() bool {
-				return !slices.Contains(statusOf(other).Members, inv.Entries[owner].ID)
+				return !slices.Contains(statusOf(t, other).Members, inv.Entries[owner].ID)
 			})
 			p.awaitMore(t, 100)
 		})
 		eventually(t, "the others hear of it", func() bool {
-			return slices.Contains(statusOf(other).Members, inv.Entries[owner].ID)
+			return slices.Contains(statusOf(t, other).Members, inv.Entries[owner].ID)
 		})
 		p.awaitMore(t, 300)
 		p.over.Store(true)
