Access to the peer and admin addresses by keys of the settings

Cause: whoever reached these addresses could hand over requests, claim to be a node, or read the status.

A call carries an HMAC of the called address under a shared key; up to four keys are accepted at a time and the first is used, which is how they are rotated. With no key only processes of the same VM are let in. Heartbeats are limited in size and rate on a connection, heartbeat connections in number, configurations given out in rate, headers in size.

Weighed: TLS with certificates. It would hide the traffic too, but certificates expire, need clocks and an issuer that the operators would have to run for VMs that keep nothing.

The rig and try run with a key. With the check taken out (a trial) the test stops at its first call, a status read with a wrong key that was served.

--- a/cmd/wasabiwheel/query.go
+++ b/cmd/wasabiwheel/query.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,14 +49,19 @@
 
 type statusCommand struct {
 	Admin []string `long:"admin" required:"true" value-name:"ADDRESS" description:"admin address of a node (may be repeated)"`
+	Key   string   `long:"key-file" value-name:"FILE" description:"file with a key of the nodes' settings; not needed on the node's own VM when they have none"`
 	JSON  bool     `long:"json" description:"print JSON, one line a node"`
 }
 
 // Execute reads and prints the status of each node.
 func (c *statusCommand) Execute([]string) error {
+	key, err := readKey(c.Key)
+	if err != nil {
+		return err
+	}
 	for _, a := range c.Admin {
-		var s node.Status
-		if err := getJSON("http://"+a+node.PathStatus, &s); err != nil {
+		s, err := getStatus(a, key)
+		if err != nil {
 			return err
 		}
 		if err := c.print(s); err != nil {
@@ -75,10 +82,39 @@
 	return nil
 }
 
+// readKey reads the key of a file; no file means no key.
+func readKey(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", &Error{Op: "key", Kind: KindUsage, Err: err}
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// getStatus reads the status of the node with an admin address.
+func getStatus(admin, key string) (node.Status, error) {
+	var s node.Status
+	header := http.Header{}
+	if key != "" {
+		header.Set(node.HeaderAccess, node.Code(key, admin))
+	}
+	return s, get("http://"+admin+node.PathStatus, header, &s)
+}
+
 // getJSON reads one JSON document.
-func getJSON(address string, out any) error {
+func getJSON(address string, out any) error { return get(address, http.Header{}, out) }
+
+func get(address string, header http.Header, out any) error {
+	req, err := http.NewRequest(http.MethodGet, address, nil)
+	if err != nil {
+		return &Error{Op: "get", Kind: KindUsage, Err: err}
+	}
+	req.Header = header
 	client := &http.Client{Timeout: queryTimeout}
-	resp, err := client.Get(address)
+	resp, err := client.Do(req)
 	if err != nil {
 		return &Error{Op: "get", Kind: KindNetwork, Err: err}
 	}
--- a/cmd/wasabiwheel/try.go
+++ b/cmd/wasabiwheel/try.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -38,6 +39,9 @@
 
 var tryPlatform = trySubnet + "0.1:9000"
 
+// tryKey is known to the nodes of this run.
+var tryKey = rand.Text()
+
 // tryInventory is the Lumbre example on the addresses of this run.
 func tryInventory() []byte {
 	return bytes.ReplaceAll(examples.Lumbre, []byte("127.20."), []byte(trySubnet))
@@ -115,7 +119,7 @@
 
 func (t *trial) startNodes(ctx context.Context) {
 	for _, e := range t.inv.Entries {
-		s := node.Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + tryPlatform}
+		s := node.Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + tryPlatform, Keys: []string{tryKey}}
 		go func() { _ = node.New(s, node.Options{}).Run(ctx) }()
 	}
 }
@@ -140,8 +144,8 @@
 func (t *trial) slots() int {
 	sum := 0
 	for _, e := range t.inv.Entries {
-		var s node.Status
-		if getJSON("http://"+e.Admin+node.PathStatus, &s) != nil {
+		s, err := getStatus(e.Admin, tryKey)
+		if err != nil {
 			continue
 		}
 		for _, l := range s.Loads {
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
@@ -100,13 +101,23 @@
 
 // acceptMember answers the heartbeats of one neighbour.
 func (n *Node) acceptMember(w http.ResponseWriter, r *http.Request) {
+	if !n.beatRoom() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer n.beatConns.Add(-1)
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(member.MaxMessage)
+	limit := rate.NewLimiter(beatRate, beatRate)
 	for n.ctx.Err() == nil {
+		if !limit.Allow() {
+			n.counters.add("access.rate")
+			return
+		}
 		if err := n.answerHeartbeat(conn); err != nil {
 			return
 		}
@@ -203,9 +214,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// newBeatClient returns the client for heartbeats, apart from that for
-// requests so that neither waits for the other's connections.
-func newBeatClient(over Network) *http.Client {
-	return &http.Client{Transport: newTransport(over, 0)}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,7 @@
 	aborted    context.Context // ends when a stop is to end at once
 	abort      context.CancelFunc
 	sequence   atomic.Uint64 // of heartbeats
+	beatConns  atomic.Int64  // heartbeat connections that were accepted
 	background sync.WaitGroup
 	work       atomic.Int64 // requests and operations in flight
 	newer      chan inventory.EntryID
@@ -136,8 +137,8 @@
 		vms:         member.NewList(s.Lag.Duration),
 		regions:     region.New(s.ID, newRandom()),
 		targets:     &http.Client{Transport: newTransport(o.Network, targetConns), CheckRedirect: keepRedirect},
-		peers:       &http.Client{Transport: newPeerTransport(o.Network), CheckRedirect: keepRedirect},
-		beats:       newBeatClient(o.Network),
+		peers:       &http.Client{Transport: sign(newPeerTransport(o.Network), s.Keys), CheckRedirect: keepRedirect},
+		beats:       &http.Client{Transport: sign(newTransport(o.Network, 0), s.Keys)},
 		store:       platform.New(platform.Options{Base: s.Platform, HTTP: &http.Client{Transport: newTransport(o.Network, 0)}}),
 		ctx:         ctx,
 		cancel:      cancel,
@@ -185,7 +186,7 @@
 	if err != nil {
 		return server{}, &Error{Op: "listen", Kind: KindNetwork, Err: err}
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTimeout, MaxHeaderBytes: peerHeader}
 	s.Protocols = new(http.Protocols)
 	s.Protocols.SetHTTP1(true)
 	s.Protocols.SetUnencryptedHTTP2(true)
@@ -226,8 +227,8 @@
 		handler http.Handler
 	}{
 		{n.settings.Caller, n.closing(n.callerHandler())},
-		{n.settings.Admin, n.adminHandler()},
-		{n.settings.Peer, n.peerHandler()},
+		{n.settings.Admin, n.guard(n.settings.Admin, n.adminHandler())},
+		{n.settings.Peer, n.guard(n.settings.Peer, n.peerHandler())},
 	} {
 		s, err := n.listen(b.address, b.handler)
 		if err != nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -31,7 +31,7 @@
 	mux.Handle(pathBooking+servePrefix, n.peerRequest(pathBooking, n.book))
 	mux.HandleFunc(pathMember, n.acceptMember)
 	mux.HandleFunc(pathGrant, n.serveGrant)
-	mux.HandleFunc(pathConfiguration, n.serveConfiguration)
+	mux.HandleFunc(pathConfiguration, n.paced(bundleRate, n.serveConfiguration))
 	return mux
 }
 
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -27,6 +27,7 @@
 	rigPlatformIP = "10.0.0.1"
 	rigCallerIP   = "10.0.0.2"
 	rigPlatform   = rigPlatformIP + ":9000"
+	rigKey        = "key of the nodes of a rig"
 	rigDelay      = 2 * time.Millisecond
 )
 
@@ -41,6 +42,7 @@
 	started  []*rigNode // all that ever ran
 	caller   *http.Client
 	limits   booking.Limits
+	keys     []string // of the nodes that are started next
 	servers  []*http.Server
 	clients  []*http.Client
 }
@@ -82,6 +84,7 @@
 		t:        t,
 		inv:      inv,
 		network:  network,
+		keys:     []string{rigKey},
 		platform: standin.NewPlatform(),
 		targets:  map[inventory.EndpointID]*standin.Target{},
 		nodes:    map[inventory.EntryID]*rigNode{},
@@ -134,7 +137,7 @@
 // start runs a new process on an entry VM.
 func (r *rig) start(id inventory.EntryID) *rigNode {
 	e, _ := r.inv.Entry(id)
-	s := Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + rigPlatform}
+	s := Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + rigPlatform, Keys: r.keys}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &rigNode{Node: New(s, Options{Network: r.network.VM(hostOf(e.Peer)), Bookings: r.limits}), stop: stop, done: make(chan struct{})}
 	r.nodes[id] = n
--- a/node/settings.go
+++ b/node/settings.go
@@ -25,6 +25,9 @@
 	Bootstrap []string `toml:"bootstrap"`
 	// Lag is by how much the platform's list of VMs may be late.
 	Lag inventory.Duration `toml:"lag"`
+	// Keys are known to all nodes and operators. Each is accepted, the first is
+	// used. With none only processes of the same VM are let in.
+	Keys []string `toml:"keys"`
 }
 
 // ReadSettings reads and checks a settings file. It fails with an
@@ -75,6 +78,9 @@
 	if s.Lag.Duration < 0 {
 		return "lag", errors.New("lag is negative")
 	}
+	if err := checkKeys(s.Keys); err != nil {
+		return "keys", err
+	}
 	for _, b := range s.Bootstrap {
 		if err := checkAddress(b); err != nil {
 			return "bootstrap", err
