--- a/region/budget.go
+++ b/region/budget.go
@@ -16,6 +16,10 @@
 // time that a configuration takes to be in force everywhere.
 const HoldTime = 12 * time.Second
 
+// longPause is the pause after which a process may have missed so much of a
+// change that it waits for its floor like a new one.
+const longPause = HoldTime / 4
+
 // maxPause is the time between two ticks beyond which the process counts as
 // having been paused.
 const maxPause = 500 * time.Millisecond
@@ -116,6 +120,10 @@
 	}
 	for _, b := range t.budgets {
 		b.used.shift(pause)
+		if pause > longPause {
+			b.held = 0
+			b.heldTo = now.Add(HoldTime)
+		}
 	}
 	t.ticked = now
 }
