Bound each dial in time

Cause: the experiment with a lost failure domain did not end: net/http goes on dialling after the request that wanted the connection has ended, so each request to a silent VM left a dial behind for as long as the system's own limit. Ruled out: the links of the stand-in network, which had the same effect and are closed now.

--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -204,6 +204,8 @@
 		c.CloseIdleConnections()
 	}
 	time.Sleep(time.Minute)
+	r.network.Close()
+	time.Sleep(time.Minute)
 	r.checkInvariants()
 }
 
--- a/node/steer.go
+++ b/node/steer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -143,10 +144,23 @@
 // meets a closing connection ends as unknown.
 func newTransport(over Network, perHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         over.DialContext,
+		DialContext:         dialWithin(over),
 		MaxConnsPerHost:     perHost,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 }
+
+// dialTimeout bounds the making of a connection.
+const dialTimeout = time.Second
+
+// dialWithin gives each dial a time limit of its own: net/http goes on dialling
+// after the request that asked for the connection has ended.
+func dialWithin(over Network) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return over.DialContext(ctx, network, address)
+	}
+}
--- a/standin/network.go
+++ b/standin/network.go
@@ -134,6 +134,19 @@
 	}
 }
 
+// Close breaks all connections, those along cut paths too.
+func (n *Network) Close() {
+	n.mu.Lock()
+	var all []*link
+	for l := range n.conns {
+		all = append(all, l)
+	}
+	n.mu.Unlock()
+	for _, l := range all {
+		l.close()
+	}
+}
+
 func host(address string) string {
 	h, _, err := net.SplitHostPort(address)
 	if err != nil {
