Versions as a tree of hashed parts; drains apart from the file; never build on an older store

Cause: a version was one value holding the whole text, so a change cost as much as the inventory; a store that came back older was built upon unknowingly; a drain could only stand in the file; a head had no check of its own; and an id could move to another domain, which breaks ownership by evidence.

Ruled out: shards listed in the head (64 log entries times all shards outgrow a megabyte), so the head names an index and the index the shards; shards cut at fixed sizes (an insertion changes all behind it), so cuts depend on the table before them; removing unused shards by the winner (another operator may be about to name a part that it found there), so they stay.

The next version is one above the highest of the store's and of the nodes'. A node tells a different version of the same number (forked) from an old one. A node asks its bootstrap peers before it trusts the store at its start, has two workers for other nodes, backs off for at most a second, and says why it waits. After a failed or fruitless watch it reads anew: a restored store may give out an entity tag twice.

--- a/configuration/error.go
+++ b/configuration/error.go
@@ -10,6 +10,7 @@
 	KindUncertain   Kind = "uncertain"   // whether the version was accepted could not be learnt
 	KindCorrupt     Kind = "corrupt"     // a stored object does not decode or has another hash
 	KindOld         Kind = "old"         // a version that is not higher than the one in force
+	KindForked      Kind = "forked"      // another version with the number of the one in force
 	KindInvalid     Kind = "invalid"     // the inventory does not pass its checks
 )
 
@@ -33,3 +34,5 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+func corrupt(op string, err error) error { return &Error{Op: op, Kind: KindCorrupt, Err: err} }
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -5,13 +5,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
@@ -27,83 +24,52 @@
 	Put(ctx context.Context, name string, value []byte, match platform.Version) (platform.Version, error)
 }
 
-// Change is what an operator wants to put in force.
-type Change struct {
-	// Text is the whole inventory as TOML.
-	Text []byte
-	// Author names the operator, for others who lose a race.
-	Author string
-	// Base is the version that the operator started from; 0 means whatever is
-	// in force now.
-	Base inventory.Version
-}
-
-// Read returns the head with its object version; a store with no head yields
-// the zero Head and platform.Absent. It tries again until ctx ends.
-func Read(ctx context.Context, store Store) (Head, platform.Version, error) {
-	pause := newBackOff()
-	for {
-		obj, err := store.Get(ctx, HeadName)
-		if err == nil {
-			h, err := ParseHead(obj.Value)
-			return h, obj.Version, err
-		}
-		if errors.Is(err, platform.ErrMissing) {
-			return Head{}, platform.Absent, nil
-		}
-		if !pause.Wait(ctx) {
-			return Head{}, "", &Error{Op: "read", Kind: KindUnavailable, Err: err}
-		}
-	}
-}
-
-// Fetch reads the shards that the head names.
-func Fetch(ctx context.Context, store Store, h Head) (Bundle, error) {
-	b := Bundle{Head: h}
-	for _, hash := range h.Shards {
-		obj, err := store.Get(ctx, shardName(hash))
-		if err != nil {
-			return Bundle{}, &Error{Op: "fetch", Kind: KindUnavailable, Err: err}
-		}
-		b.Shards = append(b.Shards, Shard{Hash: hash, Data: obj.Value})
-	}
-	return b, nil
-}
-
-// Publish checks a change and puts it in force. It returns the accepted head.
-// It fails with KindInvalid, KindLost, KindUnavailable or KindUncertain; only
-// in the last case may the change be in force nevertheless.
+// Publish checks a change and puts it in force, on top of what the store holds.
+// It fails with KindInvalid, KindLost, KindUnavailable, KindCorrupt or
+// KindUncertain; only in the last case may the change be in force nevertheless,
+// or come into force later.
 func Publish(ctx context.Context, store Store, c Change) (Accepted, error) {
-	if _, err := inventory.Parse("inventory", c.Text); err != nil {
-		return Accepted{}, &Error{Op: "publish", Kind: KindInvalid, Err: err}
-	}
-	head, version, err := Read(ctx, store)
+	present, err := ReadPresent(ctx, store, Bundle{})
 	if err != nil {
 		return Accepted{}, err
 	}
-	if c.Base != 0 && head.Version != c.Base {
-		return Accepted{}, lost(head)
+	plan, err := present.Plan(time.Now(), c)
+	if err != nil {
+		return Accepted{}, err
 	}
-	hash, err := putShard(ctx, store, c.Text)
+	return plan.Publish(ctx, store)
+}
+
+// Publish writes the parts that the store lacks and then moves the head. It
+// fails as the function of the same name does.
+func (plan Plan) Publish(ctx context.Context, store Store) (Accepted, error) {
+	index, err := plan.index()
 	if err != nil {
 		return Accepted{}, err
 	}
-	next := head.next(Nonce(rand.Text()), c.Author, time.Now().UTC(), []Hash{hash})
-	return moveHead(ctx, store, next, version)
+	plan.meta.Index = index.Hash
+	next := plan.present.Head.next(plan.meta)
+	parts := Bundle{Shards: append([]Shard{index}, plan.shards...)}
+	missing := plan.present.stored.lacks(append([]Hash{index.Hash}, plan.Index.Shards...))
+	for _, s := range parts.Pick(missing) {
+		if err := putShard(ctx, store, s); err != nil {
+			return Accepted{}, err
+		}
+	}
+	return moveHead(ctx, store, next, plan.present.match)
 }
 
 // putShard repeats the write of a shard until it is there or ctx ends.
-func putShard(ctx context.Context, store Store, data []byte) (Hash, error) {
-	hash := HashOf(data)
+func putShard(ctx context.Context, store Store, s Shard) error {
 	pause := newBackOff()
 	for {
-		_, err := store.Put(ctx, shardName(hash), data, platform.Absent)
+		_, err := store.Put(ctx, shardName(s.Hash), s.Data, platform.Absent)
 		// A conflict means that the same content is there already.
 		if err == nil || errors.Is(err, platform.ErrConflict) {
-			return hash, nil
+			return nil
 		}
 		if !pause.Wait(ctx) {
-			return "", &Error{Op: "shard", Kind: KindUnavailable, Err: err}
+			return &Error{Op: "shard", Kind: KindUnavailable, Err: err}
 		}
 	}
 }
@@ -114,9 +80,9 @@
 // them takes effect moves the head, and the others then fail on the condition:
 // the change is accepted at most once.
 func moveHead(ctx context.Context, store Store, next Head, match platform.Version) (Accepted, error) {
-	value, err := json.Marshal(next)
+	value, err := next.Encode()
 	if err != nil {
-		return Accepted{}, &Error{Op: "publish", Kind: KindCorrupt, Err: err}
+		return Accepted{}, err
 	}
 	pause := newBackOff()
 	unanswered := false
@@ -151,7 +117,7 @@
 	if err != nil {
 		return Accepted{}, unsettled(unanswered, err)
 	}
-	a, known := head.find(next.Version)
+	a, known := head.Find(next.Version)
 	switch {
 	case known && a.Nonce == next.Nonce:
 		return a, nil
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -285,12 +285,13 @@
 func (c *checker) drains() {
 	for i, d := range c.inv.Drains {
 		set := 0
-		for key, id := range map[string]string{"region": string(d.Region), "domain": string(d.Domain), "endpoint": string(d.Endpoint), "entry": string(d.Entry)} {
+		for _, place := range []Drain{{Region: d.Region}, {Domain: d.Domain}, {Endpoint: d.Endpoint}, {Entry: d.Entry}} {
+			kind, id := place.place()
 			if id == "" {
 				continue
 			}
 			set++
-			c.ref("drain", i, key, key, id)
+			c.ref("drain", i, kind, kind, id)
 		}
 		if set != 1 {
 			c.fail(KindRange, "drain", i, "region", "a drain names exactly one region, domain, endpoint or entry")
@@ -327,15 +328,6 @@
 		c.fail(KindEmpty, "service", service, "id", "service %q has no endpoint", id)
 		return
 	}
-	d := c.inv.Drains[last]
-	key := "region"
-	switch {
-	case d.Domain != "":
-		key = "domain"
-	case d.Endpoint != "":
-		key = "endpoint"
-	case d.Entry != "":
-		key = "entry"
-	}
+	key, _ := c.inv.Drains[last].place()
 	c.fail(KindEmpty, "drain", last, key, "drains leave service %q with no endpoint", id)
 }
--- a/inventory/decode.go
+++ b/inventory/decode.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"sort"
 	"strconv"
 	"strings"
 
@@ -48,6 +49,7 @@
 // The text has been decoded before, so it is known to parse.
 func scanLines(data []byte) Lines {
 	lines := Lines{}
+	starts := lineStarts(data)
 	counts := map[string]int{}
 	prefix := ""
 	p := unstable.Parser{}
@@ -59,12 +61,12 @@
 		case unstable.ArrayTable:
 			prefix = key + "." + strconv.Itoa(counts[key])
 			counts[key]++
-			lines[prefix] = keyLine(&p, e)
+			lines[prefix] = keyLine(starts, e)
 		case unstable.Table:
 			prefix = key
-			lines[prefix] = keyLine(&p, e)
+			lines[prefix] = keyLine(starts, e)
 		case unstable.KeyValue:
-			lines[join(prefix, key)] = keyLine(&p, e)
+			lines[join(prefix, key)] = keyLine(starts, e)
 		}
 	}
 	return lines
@@ -85,8 +87,21 @@
 	return strings.Join(parts, ".")
 }
 
-func keyLine(p *unstable.Parser, e *unstable.Node) int {
+// lineStarts returns the offset at which each line begins. The parser counts
+// lines from the top for each question, which takes quadratic time.
+func lineStarts(data []byte) []int {
+	starts := []int{0}
+	for i, b := range data {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
+}
+
+func keyLine(starts []int, e *unstable.Node) int {
 	it := e.Key()
 	it.Next()
-	return p.Shape(it.Node().Raw).Start.Line
+	offset := int(it.Node().Raw.Offset)
+	return sort.SearchInts(starts, offset+1)
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -137,10 +137,10 @@
 
 // Drain says that a place gets no new work. Exactly one field is set.
 type Drain struct {
-	Region   RegionID   `toml:"region"`
-	Domain   DomainID   `toml:"domain"`
-	Endpoint EndpointID `toml:"endpoint"`
-	Entry    EntryID    `toml:"entry"`
+	Region   RegionID   `toml:"region" json:"region,omitempty"`
+	Domain   DomainID   `toml:"domain" json:"domain,omitempty"`
+	Endpoint EndpointID `toml:"endpoint" json:"endpoint,omitempty"`
+	Entry    EntryID    `toml:"entry" json:"entry,omitempty"`
 }
 
 // Rules are the deployment's preferences.
--- a/node/access.go
+++ b/node/access.go
@@ -29,7 +29,7 @@
 const (
 	peerHeader     = 64 << 10 // bytes of a request's header
 	beatRate       = 20       // heartbeats a second on one connection
-	bundleRate     = 20       // configurations a second given out
+	partsRate      = 40       // calls a second for heads and parts of configurations
 	spareBeatConns = 32       // heartbeat connections beside two for each entry VM
 )
 
--- a/node/access_test.go
+++ b/node/access_test.go
@@ -21,7 +21,7 @@
 			for path, address := range map[string]string{
 				PathStatus:                          s.Admin,
 				pathMember:                          s.Peer,
-				pathConfiguration:                   s.Peer,
+				PathConfiguration:                   s.Peer,
 				pathHandOver + "/serve/catalogue/x": s.Peer,
 				pathBooking + "/serve/catalogue/x":  s.Peer,
 			} {
--- a/node/admin.go
+++ b/node/admin.go
@@ -7,19 +7,26 @@
 	"net/http"
 	"time"
 
+	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/member"
 )
 
-// PathStatus is the path of the status on the admin address.
-const PathStatus = "/status"
+// Paths of the admin address. The configuration has the same path on the peer
+// address.
+const (
+	PathStatus        = "/status"
+	PathConfiguration = "/configuration"
+)
 
 // Status is what a node tells operators.
 type Status struct {
 	Entry       inventory.EntryID      `json:"entry"`
 	Incarnation inventory.Incarnation  `json:"incarnation"`
 	State       State                  `json:"state"`
-	Version     inventory.Version      `json:"version"`
+	Version     inventory.Version      `json:"version"`           // in force here
+	Store       inventory.Version      `json:"store"`             // last seen in the platform's store
+	Waiting     Waiting                `json:"waiting,omitempty"` // why no version is in force
 	Members     []inventory.EntryID    `json:"members"`
 	Holds       []inventory.EndpointID `json:"holds"`
 	Leaving     []inventory.EndpointID `json:"leaving"` // endpoints that leave, by this node's own knowledge
@@ -36,6 +43,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.Status())
 	})
+	mux.Handle(PathConfiguration, configuration.Handler(n.config))
 	return mux
 }
 
@@ -52,6 +60,7 @@
 		Work:        int(n.work.Load()),
 		Counters:    n.counters.snapshot(),
 	}
+	s.Store, s.Waiting = n.followed()
 	for _, m := range n.members.Live(now) {
 		s.Members = append(s.Members, m.Entry)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -5,10 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"math/rand/v2"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,59 +16,100 @@
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
-// Timing of the follower.
+// Timing of the follower. The longest back-off bounds how late a node hears of
+// a version that is accepted right after an outage of the store.
 const (
-	watchWait   = 20 * time.Second
-	minBackOff  = 250 * time.Millisecond
-	maxBackOff  = 5 * time.Second
-	peerTimeout = 2 * time.Second
+	watchWait     = 20 * time.Second
+	minBackOff    = 250 * time.Millisecond
+	maxBackOff    = time.Second
+	peerTimeout   = time.Second      // for another node's head
+	partsTimeout  = 10 * time.Second // for the parts, once it has answered
+	peerFollowers = 2                // so that one node that does not answer holds up nobody
 )
 
-// maxBundle bounds a version with its shards, in bytes.
-const maxBundle = 64 << 20
+// Waiting says why a node has no configuration yet.
+type Waiting string
 
-// followStore puts in force what the store accepts, until ctx ends.
+// The reasons.
+const (
+	WaitingStore   Waiting = "the platform's store does not answer and no bootstrap peer has a configuration"
+	WaitingPublish Waiting = "no configuration has been accepted yet"
+	WaitingCorrupt Waiting = "the configuration found is not whole or not valid"
+)
+
+// follower is what following needs to remember.
+type follower struct {
+	mu      sync.Mutex
+	waiting Waiting
+	store   inventory.Version // last seen in the store
+}
+
+// followStore puts in force what the store accepts, until ctx ends. At first it
+// asks the bootstrap peers, so that a store with an older state does not make a
+// new node serve by it.
 func (n *Node) followStore(ctx context.Context) {
+	n.bootstrap(ctx)
+	pause := platform.BackOff{Min: minBackOff, Max: maxBackOff}
 	var seen platform.Version
-	backOff := minBackOff
 	for ctx.Err() == nil {
-		version, err := n.watchHead(ctx, seen)
-		if err == nil {
-			seen = version
-			backOff = minBackOff
+		var err error
+		if seen, err = n.watchHead(ctx, seen); err == nil {
+			pause.Reset()
 			continue
 		}
-		klog.V(1).InfoS("store not followed", "err", err)
+		if ctx.Err() != nil {
+			return
+		}
 		n.counters.add("store.failure")
+		klog.V(1).InfoS("store not followed", "err", err)
 		n.bootstrap(ctx)
-		sleep(ctx, backOff/2+rand.N(backOff))
-		backOff = min(2*backOff, maxBackOff)
+		n.noteWaiting(err)
+		pause.Wait(ctx)
 	}
 }
 
-// watchHead waits for the next head and puts it in force.
+// watchHead waits for the next head and puts it in force. It returns the object
+// version to wait after, which is none after a failure or a wait for nothing:
+// a store that comes back older may give out a version once more, and a watch
+// that waits after that one would sleep through the change.
 func (n *Node) watchHead(ctx context.Context, seen platform.Version) (platform.Version, error) {
 	obj, err := n.store.Watch(ctx, configuration.HeadName, seen, watchWait)
 	if err != nil || obj.Name == "" {
-		return seen, err
+		return platform.Absent, err
 	}
 	head, err := configuration.ParseHead(obj.Value)
 	if err != nil {
-		return seen, err
+		n.counters.add("configuration.refused")
+		return platform.Absent, err
 	}
-	if head.Version <= n.config.Version() {
-		n.noteOldHead(head)
+	n.noteStore(head.Version)
+	if err := n.config.Compare(head); err != nil {
+		n.noteOldHead(head, err)
 		return obj.Version, nil
 	}
-	bundle, err := configuration.Fetch(ctx, n.store, head)
+	if err := n.fetchAndApply(ctx, configuration.StoreSource{Store: n.store}, head); err != nil {
+		return platform.Absent, err
+	}
+	return obj.Version, nil
+}
+
+// fetchAndApply puts the version of a head in force.
+func (n *Node) fetchAndApply(ctx context.Context, from configuration.Source, head configuration.Head) error {
+	b, err := configuration.Fetch(ctx, from, head, n.config.Bundle())
 	if err != nil {
-		return seen, err
+		return err
 	}
-	return obj.Version, n.apply(bundle)
+	return n.apply(b)
 }
 
 // noteOldHead reports a store that came back with an older state.
-func (n *Node) noteOldHead(head configuration.Head) {
+func (n *Node) noteOldHead(head configuration.Head, err error) {
+	var e *configuration.Error
+	if errors.As(err, &e) && e.Kind == configuration.KindForked {
+		n.counters.add("configuration.forked")
+		klog.ErrorS(err, "store holds another configuration of the same version; apply once more with the nodes at hand")
+		return
+	}
 	if head.Version == n.config.Version() {
 		return
 	}
@@ -79,12 +117,58 @@
 	klog.InfoS("store holds an older configuration", "store", head.Version, "applied", n.config.Version())
 }
 
+// noteStore remembers what the store holds, for the status.
+func (n *Node) noteStore(v inventory.Version) {
+	n.follower.mu.Lock()
+	defer n.follower.mu.Unlock()
+	n.follower.store = v
+}
+
+// noteWaiting reports, once for each reason, why there is no configuration.
+func (n *Node) noteWaiting(err error) {
+	why := waitingFor(err)
+	if n.config.Version() > 0 {
+		why = ""
+	}
+	n.follower.mu.Lock()
+	changed := why != n.follower.waiting
+	n.follower.waiting = why
+	n.follower.mu.Unlock()
+	if changed && why != "" {
+		klog.InfoS("no configuration yet", "why", why, "err", err)
+	}
+}
+
+func waitingFor(err error) Waiting {
+	var e *configuration.Error
+	switch {
+	case errors.Is(err, platform.ErrMissing):
+		return WaitingPublish
+	case errors.As(err, &e) && (e.Kind == configuration.KindCorrupt || e.Kind == configuration.KindInvalid):
+		return WaitingCorrupt
+	default:
+		return WaitingStore
+	}
+}
+
+// followed returns the version last seen in the store and why the node waits.
+func (n *Node) followed() (inventory.Version, Waiting) {
+	n.follower.mu.Lock()
+	defer n.follower.mu.Unlock()
+	if n.config.Version() > 0 {
+		return n.follower.store, ""
+	}
+	return n.follower.store, n.follower.waiting
+}
+
 // apply puts a version in force. The lock keeps the tables in step with the
 // highest version.
 func (n *Node) apply(b configuration.Bundle) error {
 	n.applying.Lock()
 	defer n.applying.Unlock()
+	before := n.config.Version()
 	err := n.config.Offer(b)
+	n.checkVersion(before)
 	var e *configuration.Error
 	if errors.As(err, &e) && e.Kind == configuration.KindOld {
 		return nil
@@ -103,6 +187,13 @@
 	return nil
 }
 
+// checkVersion asserts that the applied version never goes down.
+func (n *Node) checkVersion(before inventory.Version) {
+	if after := n.config.Version(); after < before {
+		n.check("version", errors.Newf("version %d follows %d", after, before))
+	}
+}
+
 // wakeFollower has the configuration fetched from a node that has a higher one.
 func (n *Node) wakeFollower(from inventory.EntryID) {
 	select {
@@ -113,6 +204,14 @@
 
 // followPeers fetches higher versions from other nodes, until ctx ends.
 func (n *Node) followPeers(ctx context.Context) {
+	var workers sync.WaitGroup
+	for range peerFollowers {
+		workers.Go(func() { n.followPeer(ctx) })
+	}
+	workers.Wait()
+}
+
+func (n *Node) followPeer(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -134,44 +233,65 @@
 	}
 }
 
-// bootstrap asks the configured peers while there is no configuration.
+// bootstrap asks the configured peers while there is no configuration, all at
+// the same time, and puts the highest of theirs in force.
 func (n *Node) bootstrap(ctx context.Context) {
 	if n.config.Version() > 0 {
 		return
 	}
-	for _, address := range n.settings.Bootstrap {
-		n.fetchFrom(ctx, address)
+	heads := make([]configuration.Head, len(n.settings.Bootstrap))
+	var asked sync.WaitGroup
+	for i, address := range n.settings.Bootstrap {
+		asked.Go(func() { heads[i] = n.headOf(ctx, address) })
 	}
-}
-
-func (n *Node) fetchFrom(ctx context.Context, address string) {
-	b, err := n.fetchBundle(ctx, address)
-	if err == nil {
-		err = n.apply(b)
-	}
-	if err != nil {
-		klog.V(1).InfoS("configuration not fetched", "peer", address, "err", err)
+	asked.Wait()
+	for n.config.Version() == 0 {
+		best := highest(heads)
+		if best < 0 {
+			return
+		}
+		n.fetchFrom(ctx, n.settings.Bootstrap[best])
+		heads[best] = configuration.Head{}
 	}
 }
 
-func (n *Node) fetchBundle(ctx context.Context, address string) (configuration.Bundle, error) {
+// headOf returns the head that a node has in force, the zero Head when it does
+// not tell.
+func (n *Node) headOf(ctx context.Context, address string) configuration.Head {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var b configuration.Bundle
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathConfiguration, nil)
+	h, err := n.peerAt(address).Head(ctx)
 	if err != nil {
-		return b, &Error{Op: "fetch", Kind: KindPeer, Err: err}
+		klog.V(1).InfoS("no configuration from peer", "peer", address, "err", err)
+		return configuration.Head{}
 	}
-	resp, err := n.peers.Do(req)
-	if err != nil {
-		return b, &Error{Op: "fetch", Kind: KindNetwork, Err: err}
+	return h
+}
+
+// highest returns the index of the highest version, -1 when there is none.
+func highest(heads []configuration.Head) int {
+	best := -1
+	for i, h := range heads {
+		if h.Version > 0 && (best < 0 || h.Version > heads[best].Version) {
+			best = i
+		}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return b, &Error{Op: "fetch", Kind: KindPeer, Err: errors.New(resp.Status)}
+	return best
+}
+
+func (n *Node) peerAt(address string) configuration.Peer {
+	return configuration.Peer{HTTP: n.peers, URL: "http://" + address + PathConfiguration}
+}
+
+// fetchFrom puts in force what the node at an address has, if it is higher.
+func (n *Node) fetchFrom(ctx context.Context, address string) {
+	head := n.headOf(ctx, address)
+	if n.config.Compare(head) != nil {
+		return
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBundle)).Decode(&b); err != nil {
-		return b, &Error{Op: "fetch", Kind: KindPeer, Err: err}
+	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
+	defer cancel()
+	if err := n.fetchAndApply(ctx, n.peerAt(address), head); err != nil {
+		klog.V(1).InfoS("configuration not fetched", "peer", address, "err", err)
 	}
-	return b, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -115,6 +115,7 @@
 	newer      chan inventory.EntryID
 
 	grants     grants
+	follower   follower
 	applying   sync.Mutex
 	neighbours neighbours
 	news       *news
--- a/node/peers.go
+++ b/node/peers.go
@@ -5,20 +5,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 )
 
 // Paths of the peer server.
 const (
-	pathHandOver      = "/handover"
-	pathBooking       = "/booking"
-	pathMember        = "/member"
-	pathConfiguration = "/configuration"
+	pathHandOver = "/handover"
+	pathBooking  = "/booking"
+	pathMember   = "/member"
 )
 
 // headerAfter tells another node when to come back, in milliseconds.
@@ -31,7 +30,7 @@
 	mux.Handle(pathBooking+servePrefix, n.peerRequest(pathBooking, n.book))
 	mux.HandleFunc(pathMember, n.acceptMember)
 	mux.HandleFunc(pathGrant, n.serveGrant)
-	mux.HandleFunc(pathConfiguration, n.paced(bundleRate, n.serveConfiguration))
+	mux.HandleFunc(PathConfiguration, n.paced(partsRate, configuration.Handler(n.config).ServeHTTP))
 	return mux
 }
 
@@ -112,18 +111,3 @@
 	url := "http://" + e.Peer + path + servePrefix + string(q.service.ID) + q.path
 	return send(ctx, n.peers, url, &passed).fromPeer()
 }
-
-// serveConfiguration gives another node the version in force.
-func (n *Node) serveConfiguration(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet {
-		w.WriteHeader(http.StatusMethodNotAllowed)
-		return
-	}
-	b := n.config.Bundle()
-	if b.Head.Version == 0 {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(b)
-}
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -44,7 +44,9 @@
 	limits   booking.Limits
 	keys     []string // of the nodes that are started next
 	servers  []*http.Server
-	clients  []*http.Client
+	// bootstrap is in the settings of nodes that are started from now on.
+	bootstrap []string
+	clients   []*http.Client
 }
 
 // rigNode is one running node.
@@ -137,7 +139,7 @@
 // start runs a new process on an entry VM.
 func (r *rig) start(id inventory.EntryID) *rigNode {
 	e, _ := r.inv.Entry(id)
-	s := Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + rigPlatform, Keys: r.keys}
+	s := Settings{ID: e.ID, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer, Admin: e.Admin, Platform: "http://" + rigPlatform, Keys: r.keys, Bootstrap: r.bootstrap}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &rigNode{Node: New(s, Options{Network: r.network.VM(hostOf(e.Peer)), Bookings: r.limits}), stop: stop, done: make(chan struct{})}
 	r.nodes[id] = n
@@ -225,7 +227,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	b, err := configuration.Fetch(ctx, r.store(), head)
+	b, err := configuration.Fetch(ctx, configuration.StoreSource{Store: r.store()}, head, configuration.Bundle{})
 	if err != nil {
 		r.t.Fatal(err)
 	}
