--- a/node/baseline_test.go
+++ b/node/baseline_test.go
@@ -75,7 +75,7 @@
 	n := &Node{config: b.config, settings: Settings{Domain: e.Domain}}
 	q, err := n.readRequest(w, r)
 	if err != nil {
-		writeError(w, err)
+		writeError(w, r, err)
 		return
 	}
 	if b.oracle != nil {
--- a/node/callers.go
+++ b/node/callers.go
@@ -36,7 +36,7 @@
 	query := r.URL.Query()
 	service := inventory.ServiceID(query.Get("service"))
 	if _, ok := inv.Service(service); !ok {
-		writeError(w, badRequest(http.StatusNotFound, errors.Newf("no service %q", service)))
+		writeError(w, r, badRequest(http.StatusNotFound, errors.Newf("no service %q", service)))
 		return
 	}
 	q := lookup.Question{Block: inventory.BlockID(query.Get("block")), Region: inventory.RegionID(query.Get("region"))}
@@ -76,12 +76,13 @@
 	n.work.Add(1)
 	defer n.work.Add(-1)
 	if n.config.Inventory() == nil {
-		notRun(ReasonStarting, time.Second).write(w)
+		n.refuseStarting(w, r)
 		return
 	}
 	q, err := n.readRequest(w, r)
 	if err != nil {
-		writeError(w, err)
+		n.counters.refusal(ReasonRequest)
+		writeError(w, r, err)
 		return
 	}
 	a := n.serve(r, q)
@@ -90,11 +91,22 @@
 	a.write(w)
 }
 
+// refuseStarting answers while there is no configuration. What became of a key
+// only its owner can say.
+func (n *Node) refuseStarting(w http.ResponseWriter, r *http.Request) {
+	n.counters.refusal(ReasonStarting)
+	if carriesKey(r) {
+		unknown(ReasonStarting).write(w)
+		return
+	}
+	notRun(ReasonStarting, time.Second).write(w)
+}
+
 // serve chooses the way of serving. An operation that may run at most once and
 // has no key is this one receipt; it runs to its end even if the caller leaves.
 func (n *Node) serve(r *http.Request, q *request) answer {
 	if q.key != nil {
 		return n.serveOnce(r.Context(), q)
 	}
-	return n.steer(r.Context(), q)
+	return n.steer(q.lifetime(r.Context()), q)
 }
--- a/node/hop.go
+++ b/node/hop.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,10 +37,9 @@
 	if err != nil {
 		return notRun(ReasonUnreachable, 0)
 	}
-	out.Body = onceBody{bytes.NewReader(q.body)}
-	out.ContentLength = int64(len(q.body))
 	out.Header = q.header.Clone()
 	out.Header.Set(HeaderTimeout, q.millisLeft())
+	q.setBody(out)
 	resp, err := client.Do(out)
 	if err != nil {
 		return sendFailure(ctx, err, connected.Load())
@@ -48,6 +48,28 @@
 	return readAnswer(ctx, resp)
 }
 
+// setBody gives a request a body that is sent once. HTTP/1 takes an empty
+// onceBody for one of unknown length, and sends it in chunks if the method
+// usually has a body, which some targets do not read. There the request gets no
+// body, and its Idempotency-Key a spelling that net/http does not look for.
+func (q *request) setBody(out *http.Request) {
+	out.ContentLength = int64(len(q.body))
+	if len(q.body) > 0 || q.passed || !declaresLength(out.Method) {
+		out.Body = onceBody{bytes.NewReader(q.body)}
+		return
+	}
+	for _, name := range []string{HeaderKey, "X-Idempotency-Key"} {
+		if values, ok := out.Header[name]; ok {
+			delete(out.Header, name)
+			out.Header[strings.ToLower(name)] = values
+		}
+	}
+}
+
+func declaresLength(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 // millisLeft is the time that is left, rounded up so that it is never 0.
 func (q *request) millisLeft() string {
 	left := time.Until(q.deadline).Milliseconds()
@@ -72,6 +94,13 @@
 // readAnswer reads the whole answer. net/http reports a body that is shorter
 // than its declared length as an error.
 func readAnswer(ctx context.Context, resp *http.Response) answer {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return unknown(ReasonBroken) // nobody asked for that
+	}
+	bare := isBare(resp.Request.Method, resp.StatusCode)
+	if !bare && isUnframed(resp) {
+		return unknown(ReasonUnframed)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -81,7 +110,21 @@
 	case len(body) > MaxAnswer:
 		return unknown(ReasonOversize)
 	}
-	return answer{outcome: OutcomeRan, status: resp.StatusCode, header: forwarded(resp.Header), body: body}
+	return answer{outcome: OutcomeRan, status: resp.StatusCode, header: forwarded(resp.Header), body: body, bare: bare}
+}
+
+// isUnframed reports whether only the end of the connection ends the body, so
+// that a whole one cannot be told from a truncated one.
+func isUnframed(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// fromTarget drops what only this system says.
+func (a answer) fromTarget() answer {
+	for _, h := range []string{HeaderOutcome, HeaderReason, HeaderToken, headerAfter} {
+		a.header.Del(h)
+	}
+	return a
 }
 
 // isRefused reports whether an address refused a connection, which means that
--- a/node/once.go
+++ b/node/once.go
@@ -21,11 +21,27 @@
 		return unknown(ReasonOwnerGone)
 	}
 	a := n.passToOwner(ctx, q)
-	if a.outcome == OutcomeNotRun && a.reason == ReasonUnreachable {
-		// Not this receipt, but an earlier one of the same key may have run.
-		return unknown(ReasonOwnerGone)
+	if a.outcome != OutcomeNotRun || a.stated {
+		return a
 	}
-	return a
+	// This receipt did not reach the owner, but another one of the same key may
+	// have.
+	if a.reason == ReasonDeadline {
+		return unknown(ReasonDeadline)
+	}
+	return unknown(ReasonOwnerGone)
+}
+
+// bookForPeer runs an operation that another node passed on. Whether it may run
+// at most once was decided there.
+func (n *Node) bookForPeer(ctx context.Context, q *request) answer {
+	key, err := booking.ParseKey(q.header.Get(HeaderKey))
+	if err != nil {
+		return unknown(ReasonBroken)
+	}
+	q.key = &key
+	q.once = true
+	return n.book(ctx, q)
 }
 
 // book runs an operation that this incarnation owns, or tells what became of
@@ -34,17 +50,20 @@
 	v := n.bookings.Begin(time.Now(), *q.key, q.digest())
 	switch v.Action {
 	case booking.Start:
+		first := make(chan answer, 1)
 		n.work.Add(1)
-		go n.runOnce(q)
-		return n.awaitBooking(ctx, q)
+		go n.runOnce(q, first)
+		return awaitFirst(ctx, q, first)
 	case booking.Join:
 		return n.awaitBooking(ctx, q)
 	case booking.Replay:
-		return replay(v)
+		return replay(q, v)
 	case booking.Full:
 		return full(v)
 	case booking.Differs:
 		return answer{outcome: OutcomeNotRun, reason: ReasonDiffers, status: http.StatusUnprocessableEntity}
+	case booking.Foreign:
+		return unknown(ReasonOwnerGone)
 	default:
 		return unknown(ReasonExpired)
 	}
@@ -58,22 +77,30 @@
 }
 
 // runOnce carries an operation to its end, whether or not its caller stays. It
-// is counted as work before it is started.
-func (n *Node) runOnce(q *request) {
+// is counted as work before it is started, and its answer goes out after it is
+// recorded, so that repeats say the same.
+func (n *Node) runOnce(q *request, first chan<- answer) {
 	defer n.work.Add(-1)
 	q.booked = true
 	a := n.steer(context.Background(), q)
+	if err := n.record(q, a); err != nil {
+		n.check("booking", err)
+		a = unknown(ReasonBroken)
+	}
+	first <- a
+}
+
+// record keeps what became of an operation.
+func (n *Node) record(q *request, a answer) error {
 	end := booking.Answer{Status: a.status, Header: a.header, Body: a.body, Reason: string(a.reason), After: a.after}
-	var err error
 	switch a.outcome {
 	case OutcomeRan:
-		err = n.bookings.Finish(*q.key, end)
+		return n.bookings.Finish(*q.key, end)
 	case OutcomeNotRun:
-		err = n.bookings.Seal(*q.key, end)
+		return n.bookings.Seal(*q.key, end)
 	default:
-		err = n.bookings.Lose(*q.key, end)
+		return n.bookings.Lose(*q.key, end)
 	}
-	n.check("booking", err)
 }
 
 // track runs one attempt of a booked operation. The operation counts as sent
@@ -83,7 +110,10 @@
 	if !q.booked {
 		return attempt()
 	}
-	n.check("booking", n.bookings.Send(*q.key))
+	if err := n.bookings.Send(*q.key); err != nil {
+		n.check("booking", err)
+		return unknown(ReasonBroken)
+	}
 	a := attempt()
 	if a.outcome == OutcomeNotRun {
 		n.check("booking", n.bookings.Return(*q.key))
@@ -94,6 +124,19 @@
 // bookingGrace lets an operation that ends at its deadline be recorded first.
 const bookingGrace = 20 * time.Millisecond
 
+// awaitFirst waits for the answer to the receipt that started the operation.
+func awaitFirst(ctx context.Context, q *request, first <-chan answer) answer {
+	timer := time.NewTimer(time.Until(q.deadline) + bookingGrace)
+	defer timer.Stop()
+	select {
+	case a := <-first:
+		return a
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return unknown(ReasonDeadline)
+}
+
 // awaitBooking waits until the operation is over or its time is up.
 func (n *Node) awaitBooking(ctx context.Context, q *request) answer {
 	timer := time.NewTimer(time.Until(q.deadline) + bookingGrace)
@@ -109,15 +152,18 @@
 		}
 		v = n.bookings.Look(*q.key)
 	}
-	return replay(v)
+	return replay(q, v)
 }
 
 // replay repeats what became of an operation.
-func replay(v booking.Verdict) answer {
+func replay(q *request, v booking.Verdict) answer {
 	end := v.Answer
 	switch v.State {
 	case booking.StateDone:
-		return answer{outcome: OutcomeRan, status: end.Status, header: http.Header(end.Header).Clone(), body: end.Body}
+		if end.Dropped {
+			return unknown(ReasonMemory)
+		}
+		return answer{outcome: OutcomeRan, status: end.Status, header: http.Header(end.Header).Clone(), body: end.Body, bare: isBare(q.method, end.Status)}
 	case booking.StateSealed:
 		return notRun(reasonOr(end.Reason, ReasonSealed), end.After)
 	default:
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wasabiwheel/wasabiwheel/booking"
 	"github.com/wasabiwheel/wasabiwheel/caller"
 )
 
@@ -43,6 +44,8 @@
 	ReasonDeadline    Reason = "deadline"    // the time is up
 	ReasonUnreachable Reason = "unreachable" // no connection to the next hop
 	ReasonBroken      Reason = "broken"      // the next hop broke off
+	ReasonUnframed    Reason = "unframed"    // the target's answer has no stated length
+	ReasonRequest     Reason = "request"     // the request is not acceptable
 	ReasonOversize    Reason = "oversize"    // the target's answer is too large
 	ReasonOwnerGone   Reason = "ownergone"   // the incarnation that owns the key is not there
 	ReasonExpired     Reason = "expired"     // the key is too old
@@ -63,6 +66,8 @@
 	status  int
 	header  http.Header
 	body    []byte
+	bare    bool // has no body whatever its header says
+	stated  bool // another node stated the outcome
 }
 
 // Bounds of Retry-After.
@@ -99,7 +104,7 @@
 		h[k] = v
 	}
 	if a.outcome == OutcomeRan {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		a.setLength(h)
 		w.WriteHeader(a.status)
 		_, _ = w.Write(a.body)
 		return
@@ -110,6 +115,22 @@
 	writeProblem(w, problem{Title: "request not served", Status: a.status, Reason: a.reason, State: a.outcome})
 }
 
+// setLength declares the length of the body. An answer without one keeps what
+// the target declared, which then describes what a GET would bring.
+func (a answer) setLength(h http.Header) {
+	switch {
+	case !a.bare:
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	case a.status == http.StatusNoContent:
+		h.Del("Content-Length")
+	}
+}
+
+// isBare reports whether an answer has no body by definition (RFC 9110, 6.4.1).
+func isBare(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // retryAfter spreads the callers that come back over twice the wait, so that
 // they do not come together. The header counts in whole seconds.
 func retryAfter(after time.Duration) string {
@@ -124,8 +145,24 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
-// writeError answers a request that is not acceptable. Nothing was run.
-func writeError(w http.ResponseWriter, err *Error) {
-	w.Header().Set(HeaderOutcome, string(OutcomeNotRun))
-	writeProblem(w, problem{Title: "bad request", Status: err.Status, Detail: err.Err.Error(), State: OutcomeNotRun})
+// writeError answers a request that is not acceptable. Nothing was run for this
+// receipt; what became of a key that it carries only the key's owner can say.
+func writeError(w http.ResponseWriter, r *http.Request, err *Error) {
+	outcome := OutcomeNotRun
+	if carriesKey(r) {
+		outcome = OutcomeUnknown
+	}
+	w.Header().Set(HeaderOutcome, string(outcome))
+	w.Header().Set(HeaderReason, string(ReasonRequest))
+	writeProblem(w, problem{Title: "bad request", Status: err.Status, Detail: err.Err.Error(), Reason: ReasonRequest, State: outcome})
+}
+
+// carriesKey reports whether a request names an operation.
+func carriesKey(r *http.Request) bool {
+	for _, text := range r.Header.Values(HeaderKey) {
+		if _, err := booking.ParseKey(text); err == nil {
+			return true
+		}
+	}
+	return false
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -27,30 +27,39 @@
 // peerHandler serves other nodes.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(pathHandOver+servePrefix, n.peerRequest(pathHandOver, n.serveHere))
-	mux.Handle(pathBooking+servePrefix, n.peerRequest(pathBooking, n.book))
+	mux.Handle(pathHandOver+servePrefix, n.peerRequest(pathHandOver, OutcomeNotRun, n.serveHandedOver))
+	mux.Handle(pathBooking+servePrefix, n.peerRequest(pathBooking, OutcomeUnknown, n.bookForPeer))
 	mux.HandleFunc(pathMember, n.acceptMember)
 	mux.HandleFunc(pathGrant, n.serveGrant)
 	mux.HandleFunc(pathConfiguration, n.serveConfiguration)
 	return mux
 }
 
-// peerRequest adapts a way of serving to the protocol between nodes.
-func (n *Node) peerRequest(prefix string, serve func(context.Context, *request) answer) http.Handler {
+// peerRequest adapts a way of serving to the protocol between nodes. What is
+// said of a request that cannot be read differs: nothing was handed over, but
+// nothing was sealed either.
+func (n *Node) peerRequest(prefix string, unread Outcome, serve func(context.Context, *request) answer) http.Handler {
 	return http.StripPrefix(prefix, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.work.Add(1)
+		defer n.work.Add(-1)
 		if n.config.Inventory() == nil {
-			notRun(ReasonStarting, time.Second).writePeer(w)
+			answer{outcome: unread, reason: ReasonStarting, after: time.Second, status: http.StatusServiceUnavailable}.writePeer(w)
 			return
 		}
 		q, err := n.readRequest(w, r)
 		if err != nil {
-			answer{outcome: OutcomeNotRun, reason: ReasonUnreachable, status: err.Status}.writePeer(w)
+			answer{outcome: unread, reason: ReasonRequest, status: err.Status}.writePeer(w)
 			return
 		}
 		serve(r.Context(), q).writePeer(w)
 	}))
 }
 
+// serveHandedOver serves a request that another node handed over.
+func (n *Node) serveHandedOver(ctx context.Context, q *request) answer {
+	return n.serveHere(q.lifetime(ctx), q)
+}
+
 // writePeer sends an answer to another node, with its outcome always stated.
 func (a answer) writePeer(w http.ResponseWriter) {
 	h := w.Header()
@@ -60,7 +69,7 @@
 	h.Set(HeaderOutcome, string(a.outcome))
 	h.Set(HeaderReason, string(a.reason))
 	h.Set(headerAfter, strconv.FormatInt(a.after.Milliseconds(), 10))
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	a.setLength(h)
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body)
 }
@@ -81,9 +90,8 @@
 	case OutcomeRan:
 		return a
 	case OutcomeNotRun:
-		refused := notRun(reason, time.Duration(ms)*time.Millisecond)
-		refused.status = a.status
-		return refused
+		after := time.Duration(ms) * time.Millisecond
+		return answer{outcome: outcome, reason: reason, after: after, status: a.status, stated: true}
 	case OutcomeUnknown:
 		return unknown(reason)
 	default:
@@ -107,6 +115,7 @@
 		return notRun(ReasonUnreachable, 0)
 	}
 	passed := *q
+	passed.passed = true
 	passed.header = q.header.Clone()
 	passed.header.Set(HeaderRegion, string(q.home))
 	url := "http://" + e.Peer + path + servePrefix + string(q.service.ID) + q.path
--- a/node/request.go
+++ b/node/request.go
@@ -3,6 +3,7 @@
 // A caller's request as it travels through the system.
 
 import (
+	"context"
 	"crypto/sha256"
 	"io"
 	"net/http"
@@ -18,8 +19,9 @@
 
 // Bounds of what travels through a node, in bytes.
 const (
-	MaxRequest = 1 << 20 // body of a request
-	MaxAnswer  = 4 << 20 // body of a target's answer
+	MaxRequest = 1 << 20  // body of a request
+	MaxAnswer  = 4 << 20  // body of a target's answer
+	maxHeader  = 64 << 10 // header of an answer
 )
 
 // servePrefix begins the path of each request for a service.
@@ -37,12 +39,14 @@
 	key      *booking.Key       // nil: the operation is this one receipt
 	once     bool               // may run at most once
 	booked   bool               // this node keeps the record of the operation
+	passed   bool               // it goes to another node
 }
 
 // hopHeaders are not passed on (RFC 9110, 7.6.1).
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Expect", // the body is here already
 }
 
 // readRequest reads and checks a request. It fails with an *Error that carries
@@ -73,7 +77,16 @@
 	if err := req.readDeadline(r.Header.Get(HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	return req, req.readKey(r.Header.Get(HeaderKey))
+	return req, req.readKey(strings.Join(r.Header.Values(HeaderKey), ", "))
+}
+
+// lifetime returns the context for serving a request. What may run at most once
+// goes on when its sender has left, since its sender cannot tell whether it ran.
+func (q *request) lifetime(sender context.Context) context.Context {
+	if q.once {
+		return context.WithoutCancel(sender)
+	}
+	return sender
 }
 
 func badRequest(status int, err error) *Error {
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -254,6 +254,10 @@
 	if key != "" {
 		req.Header.Set(HeaderKey, key)
 	}
+	return r.do(req)
+}
+
+func (r *rig) do(req *http.Request) reply {
 	resp, err := r.caller.Do(req)
 	if err != nil {
 		return reply{err: err}
--- a/node/steer.go
+++ b/node/steer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -128,7 +129,7 @@
 		n.endpoints.Release(began, s, 0)
 		return notRun(ReasonPaused, 0)
 	}
-	a := send(ctx, n.targets, "http://"+s.Address+q.path, q)
+	a := send(ctx, n.targets, "http://"+s.Address+q.path, q).fromTarget()
 	n.noteSignal(s.Endpoint, a)
 	if a.outcome == OutcomeUnknown {
 		time.AfterFunc(time.Until(q.deadline)+endpoint.Transit, func() { n.endpoints.Release(time.Now(), s, 0) })
@@ -138,15 +139,29 @@
 	return a
 }
 
+// dialTimeout bounds the making of a connection. net/http goes on with it when
+// the request that needed it was given up.
+const dialTimeout = 2 * time.Second
+
+func dialWithin(limit time.Duration, over Network) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return over.DialContext(ctx, network, address)
+	}
+}
+
 // newTransport returns a transport for one kind of next hop. Unused connections
 // are closed before a server is likely to close them, since a request that
 // meets a closing connection ends as unknown.
 func newTransport(over Network, perHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         over.DialContext,
+		DialContext:         dialWithin(dialTimeout, over),
 		MaxConnsPerHost:     perHost,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeader,
 	}
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -40,8 +40,9 @@
 	Served int            `json:"served"`
 	Peak   int            `json:"peak"` // most requests at the same time
 	Busy   int            `json:"busy"`
-	Shed   int            `json:"shed"` // requests refused
-	Keys   map[string]int `json:"keys"` // times that each Idempotency-Key ran
+	Shed   int            `json:"shed"`  // requests refused
+	Ended  int            `json:"ended"` // requests worked on to their end
+	Keys   map[string]int `json:"keys"`  // times that each Idempotency-Key ran
 }
 
 // Target is a stand-in for one endpoint. It is an http.Handler and is safe for
@@ -144,9 +145,16 @@
 	if !t.work(ctx, b) {
 		return
 	}
+	t.finish()
 	t.answer(w, r, b, body)
 }
 
+func (t *Target) finish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Ended++
+}
+
 func (t *Target) start(key string) (Behaviour, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
