Look-ups from an index by region; blocks move to other regions in steps

Cause: a look-up sorted all entry VMs of the deployment, and when a region lost its endpoints or entry VMs nothing bounded how fast its blocks moved. A block's region now grows or shrinks by the cap's step, by hash, so nodes agree without talking; a block whose own region has no entry VM and whose turn has not come is told to come back (reason "shift").

--- a/node/baseline_test.go
+++ b/node/baseline_test.go
@@ -63,7 +63,7 @@
 		return !b.x.isLost(hostOf(e.Peer))
 	}
 	a := lookup.Answer{TTL: lookup.TTL.Seconds()}
-	for _, e := range lookup.Order(inv, q, alive) {
+	for _, e := range lookup.NewIndex(inv).Order(q, alive) {
 		a.Entries = append(a.Entries, lookup.Entry{ID: e.ID, Address: e.Caller, Token: booking.Token{Entry: e.ID, Incarnation: 1}.String()})
 	}
 	_ = json.NewEncoder(w).Encode(a)
--- a/node/callers.go
+++ b/node/callers.go
@@ -46,6 +46,11 @@
 	if q.Region == "" {
 		q.Region = inv.RegionOf(n.settings.Domain)
 	}
+	if !n.steerBlock(service, &q, r.RemoteAddr) {
+		n.counters.refusal(ReasonShift)
+		notRun(ReasonShift, lookup.TTL).write(w)
+		return
+	}
 	n.counters.add("lookup")
 	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(int(lookup.TTL/time.Second)))
 	w.Header().Set("Content-Type", "application/json")
@@ -65,7 +70,7 @@
 	}
 	alive := func(id inventory.EntryID) bool { _, ok := tokens[id]; return ok }
 	answer := lookup.Answer{TTL: lookup.TTL.Seconds()}
-	for _, e := range lookup.Order(inv, q, alive) {
+	for _, e := range n.entryIndex(inv).Order(q, alive) {
 		answer.Entries = append(answer.Entries, lookup.Entry{ID: e.ID, Address: e.Caller, Token: tokens[e.ID].String()})
 	}
 	return answer
--- a/node/follow.go
+++ b/node/follow.go
@@ -97,6 +97,7 @@
 	inv := n.config.Inventory()
 	n.regions.SetInventory(now, inv)
 	n.grants.granter.SetInventory(inv)
+	n.lookups.setInventory(inv)
 	n.endpoints.SetInventory(now, inv)
 	n.followNeighbours(inv)
 	klog.InfoS("configuration applied", "version", b.Head.Version, "author", b.Head.Author)
--- a/node/node.go
+++ b/node/node.go
@@ -115,6 +115,7 @@
 	newer      chan inventory.EntryID
 
 	grants     grants
+	lookups    lookups
 	applying   sync.Mutex
 	neighbours neighbours
 	news       *news
@@ -215,6 +216,7 @@
 	n.background.Go(func() { n.tick(n.ctx) })
 	n.background.Go(func() { n.followLease(n.ctx) })
 	n.background.Go(func() { n.followGrants(n.ctx) })
+	n.background.Go(func() { n.followShifts(n.ctx) })
 	klog.InfoS("node started", "entry", n.settings.ID, "caller", n.settings.Caller, "peer", n.settings.Peer)
 	<-ctx.Done()
 	return n.leave(servers)
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -49,6 +49,7 @@
 	ReasonSealed      Reason = "sealed"      // the key was refused before
 	ReasonMemory      Reason = "memory"      // no room for another once-only operation
 	ReasonDiffers     Reason = "differs"     // the key was used for another request
+	ReasonShift       Reason = "shift"       // the caller's block has not moved to another region yet
 	ReasonStarting    Reason = "starting"    // the node has no configuration yet
 	ReasonBudget      Reason = "budget"      // no retry left
 	ReasonPaused      Reason = "paused"      // the endpoint began to leave, or this process was paused
