A process does not move blocks of a full region at its first tick

Cause: in steady load 47 to 108 of 2,923 requests were refused (cap, link). A new process went straight to its goal at its first tick, also when a region was only full at that moment, so half of that region's blocks entered elsewhere. Ruled out: the link's capacity (answers are small) and the queues at home.

--- a/lookup/shift.go
+++ b/lookup/shift.go
@@ -26,6 +26,9 @@
 // serves reports whether callers of other regions may be sent there.
 func (s State) serves() bool { return s.Entries && s.Slots && !s.Full }
 
+// lost reports whether a region cannot serve its callers at all.
+func (s State) lost() bool { return !s.Entries || !s.Slots }
+
 // line is what moves of a service from one region to another.
 type line struct {
 	service  inventory.ServiceID
@@ -36,9 +39,9 @@
 // region. The other regions divide the space of the blocks' hashes between
 // them; the moved part grows from the start of each division, by the cap's step
 // at most, and past its end only when the next region can not serve. All nodes
-// that see the same states move the same blocks. A new table goes to its goal at
-// its first tick, since the other nodes are there already. It is safe for
-// concurrent use, and its zero value is ready.
+// that see the same states move the same blocks. A new table goes to its goal for
+// a lost region at its first tick, since the other nodes are there already. It is
+// safe for concurrent use, and its zero value is ready.
 type Shifts struct {
 	mu     sync.Mutex
 	inv    *inventory.Inventory
@@ -66,7 +69,7 @@
 	for _, r := range s.inv.Regions {
 		others := s.others(r.ID)
 		for i, to := range others {
-			s.follow(now, line{service, r.ID, to}, goal(state, r.ID, others, i))
+			s.follow(now, line{service, r.ID, to}, goal(state, r.ID, others, i), state[r.ID].lost())
 		}
 	}
 }
@@ -81,11 +84,10 @@
 // goal is the part of a region's blocks that is to move to the i-th other one.
 func goal(state map[inventory.RegionID]State, from inventory.RegionID, others []inventory.RegionID, i int) float64 {
 	home, to := state[from], state[others[i]]
-	lost := !home.Entries || !home.Slots
 	switch {
-	case !to.serves() || !lost && home.Spare:
+	case !to.serves() || !home.lost() && home.Spare:
 		return 0
-	case !lost && !(home.Full && to.Spare):
+	case !home.lost() && !(home.Full && to.Spare):
 		return -1 // stays as it is
 	}
 	divisions := 1
@@ -95,14 +97,19 @@
 	return float64(divisions) / float64(len(others))
 }
 
-func (s *Shifts) follow(now time.Time, l line, goal float64) {
+// follow takes a step to a goal. The first tick of a process goes all the way
+// for a region that is lost, but not for one that is full at the moment.
+func (s *Shifts) follow(now time.Time, l line, goal float64, lost bool) {
 	moved := s.moved[l]
 	if goal < 0 || moved == goal {
 		return
 	}
 	step := s.step(l) * min(now.Sub(s.ticked), maxStep).Seconds()
 	if s.ticked.IsZero() {
-		step = 1
+		step = 0
+		if lost {
+			step = 1
+		}
 	}
 	if moved < goal {
 		moved = min(goal, moved+step)
--- a/node/experiment_test.go
+++ b/node/experiment_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/wasabiwheel/wasabiwheel/caller"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/region"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
@@ -162,7 +163,7 @@
 			Cold: x.scenario.cold, Mislead: x.scenario.lie > 0 && i%x.scenario.lie == 0,
 		})
 	}
-	for i, region := range x.r.inv.Regions {
+	for i, place := range x.r.inv.Regions {
 		var nodes []string
 		for _, e := range x.r.inv.Entries {
 			nodes = append(nodes, e.Caller)
@@ -170,9 +171,9 @@
 		for k := range experimentBlocks {
 			ip := fmt.Sprint(callerSubnet, i, ".", k+1)
 			client := &http.Client{Transport: newTransport(x.r.network.VM(ip), 0)}
-			block := inventory.BlockID(fmt.Sprint(region.ID, "-", k))
-			c := caller.New(caller.Options{Nodes: nodes, Block: block, Region: region.ID, HTTP: client})
-			x.callers[region.ID] = append(x.callers[region.ID], c)
+			block := inventory.BlockID(fmt.Sprint(place.ID, "-", k))
+			c := caller.New(caller.Options{Nodes: nodes, Block: block, Region: place.ID, HTTP: client})
+			x.callers[place.ID] = append(x.callers[place.ID], c)
 			x.r.clients = append(x.r.clients, client)
 		}
 	}
@@ -182,6 +183,7 @@
 func wholeNodes(x *experiment) {
 	x.r.startAll()
 	x.r.settle()
+	time.Sleep(region.HoldTime) // until new processes may use their floors
 }
 
 // run sends open-loop load with exponential gaps, and the fault in between.
@@ -217,8 +219,8 @@
 // next draws a request: service by its share of the slots, any region.
 func (x *experiment) next(i int) (caller.Operation, *caller.Client) {
 	endpoint := x.r.inv.Endpoints[x.random.IntN(len(x.r.inv.Endpoints))]
-	region := x.r.inv.Regions[x.random.IntN(len(x.r.inv.Regions))].ID
-	client := x.callers[region][x.random.IntN(experimentBlocks)]
+	home := x.r.inv.Regions[x.random.IntN(len(x.r.inv.Regions))].ID
+	client := x.callers[home][x.random.IntN(experimentBlocks)]
 	op := caller.Operation{Service: endpoint.Service, Method: http.MethodGet, Path: fmt.Sprint("/", i)}
 	if endpoint.Service != x.r.inv.Services[0].ID {
 		op.Method, op.Once = http.MethodPost, true
@@ -265,14 +267,14 @@
 	busy := map[inventory.RegionID]int{}
 	slots := map[inventory.RegionID]int{}
 	for _, e := range x.r.inv.Endpoints {
-		region := x.r.inv.RegionOf(e.Domain)
-		busy[region] += x.r.targets[e.ID].Busy()
-		slots[region] += e.Slots
+		place := x.r.inv.RegionOf(e.Domain)
+		busy[place] += x.r.targets[e.ID].Busy()
+		slots[place] += e.Slots
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for region, n := range busy {
-		x.m.Region = max(x.m.Region, float64(n)/float64(slots[region]))
+	for place, n := range busy {
+		x.m.Region = max(x.m.Region, float64(n)/float64(slots[place]))
 	}
 }
 
--- a/node/table_test.go
+++ b/node/table_test.go
@@ -56,6 +56,7 @@
 			t.Logf("oracle      %+v", best)
 			convey.Convey("Steady load is served like by an oracle, within the slots", t, func() {
 				convey.So(got.Peak, convey.ShouldBeLessThanOrEqualTo, goalPeak)
+				convey.So(got.Good, convey.ShouldEqual, got.Sent)
 				convey.So(got.Twice, convey.ShouldEqual, 0)
 				convey.So(got.P99.Seconds()/best.P99.Seconds(), convey.ShouldBeLessThanOrEqualTo, goalLatency)
 			})
