--- a/node/once_test.go
+++ b/node/once_test.go
@@ -61,7 +61,10 @@
 	if off {
 		change = r.network.Cut
 	}
-	others := []string{rigCallerIP, rigPlatformIP, hostOf(r.inv.Endpoints[0].Address)}
+	others := []string{rigCallerIP, rigPlatformIP}
+	for _, p := range r.inv.Endpoints {
+		others = append(others, hostOf(p.Address))
+	}
 	for _, o := range r.inv.Entries {
 		others = append(others, hostOf(o.Peer))
 	}
