Admission that refuses early, a retry budget, and slots reduced by what targets show

Cause: nothing bounded the retries but the places (up to 3 attempts for each request), a request waited in the queue until its deadline although it could not be answered any more, and an endpoint that shed or refused connections got as much as before.

Admission asks for two mean times after the wait, and drops from the queue what has less than one left. Retries after attempts that may have cost a target take from a budget of 8 percent of first tries and 10 saved up; a retry after one that cost a message only is free while the next place says that it has free slots, else it takes from the budget too. Weighed: the budget for all of them, which strands requests of a node whose first place died just before; none for messages, which under overload sends each request three times through the nodes. An endpoint that sheds or breaks off has its slots halved and gets them back with its answers; one without connection rests 1 to 8 s; a new one ramps from one slot over 10 s. Statuses listed in the new key 'shed' of a service count as not run; others are passed on.

--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -25,6 +25,10 @@
 // smoothing is the weight of the newest request in the running mean.
 const smoothing = 0.1
 
+// spare is how many means must be left after the wait, one for the request and
+// one since the wait is an estimate, so that few are refused after they waited.
+const spare = 2
+
 // Slot is the right to have one request in flight at an endpoint. Who holds it
 // must give it back with Release.
 type Slot struct {
@@ -33,7 +37,8 @@
 	point    *point
 }
 
-// Ticket is a place in the queue. Ready yields the slot.
+// Ticket is a place in the queue. Ready yields the slot, or is closed when the
+// request cannot be answered in time any more.
 type Ticket struct {
 	Ready    chan Slot
 	service  inventory.ServiceID
@@ -87,7 +92,7 @@
 	if len(q.waiting) >= q.limit {
 		return refuse(ReasonFull, wait)
 	}
-	if now.Add(wait + q.mean).After(deadline) {
+	if now.Add(wait + spare*q.mean).After(deadline) {
 		return refuse(ReasonLate, wait)
 	}
 	ticket := &Ticket{Ready: make(chan Slot, 1), service: service, deadline: deadline}
@@ -114,7 +119,7 @@
 	}
 	var best *point
 	for _, p := range t.points {
-		if p.Service != service || !p.usableAt(now) || p.busy >= p.Slots || t.leaves(p.ID) {
+		if p.Service != service || !p.usableAt(now) || p.busy >= p.allowed(now) || t.leaves(p.ID) {
 			continue
 		}
 		if best == nil || p.less(best) {
@@ -169,8 +174,10 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(x *Ticket) bool { return x == k })
 	t.mu.Unlock()
 	select {
-	case s := <-k.Ready:
-		t.Release(now, s, 0)
+	case s, ok := <-k.Ready:
+		if ok {
+			t.Release(now, s, 0)
+		}
 	default:
 	}
 }
@@ -185,14 +192,15 @@
 	t.yield()
 }
 
-// dispatch hands free slots to the requests that wait, the oldest first. Those
-// whose deadline has passed are left to their own timers.
+// dispatch hands free slots to the requests that wait, the oldest first, and
+// refuses those that cannot be answered in time any more.
 func (t *Table) dispatch(now time.Time) {
 	for id, q := range t.queues {
 		for len(q.waiting) > 0 {
 			next := q.waiting[0]
-			if now.After(next.deadline) {
+			if now.Add(q.mean).After(next.deadline) {
 				q.waiting = q.waiting[1:]
+				close(next.Ready)
 				continue
 			}
 			s, ok := t.take(now, id)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -85,6 +85,7 @@
 	usable  time.Time // when an earlier owner's work has ended
 	busy    int       // slots in use
 	drained bool
+	health
 }
 
 // former is an entry VM as an earlier inventory declared it.
@@ -135,7 +136,8 @@
 func (t *Table) SetInventory(now time.Time, inv *inventory.Inventory) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inv != nil {
+	old := t.inv
+	if old != nil {
 		t.compareEntries(now, inv)
 	}
 	t.inv = inv
@@ -149,7 +151,7 @@
 	for _, e := range inv.Endpoints {
 		if rank := Rank(inv, e); slices.Contains(rank, t.self) {
 			declared[e.Address] = true
-			t.place(now, e, rank, plans[inv.RegionOf(e.Domain)])
+			t.begin(now, t.place(now, e, rank, plans[inv.RegionOf(e.Domain)]), old)
 		}
 	}
 	for address, p := range t.points {
@@ -182,7 +184,7 @@
 
 // place puts an endpoint's declaration in force. Its address is what it is
 // known by: another id there means the same process.
-func (t *Table) place(now time.Time, e inventory.Endpoint, rank []inventory.EntryID, plan Plan) {
+func (t *Table) place(now time.Time, e inventory.Endpoint, rank []inventory.EntryID, plan Plan) *point {
 	p, ok := t.points[e.Address]
 	if !ok {
 		p = &point{}
@@ -199,6 +201,7 @@
 	p.Endpoint = e
 	p.rank = rank
 	p.drained = t.inv.Drained(e)
+	return p
 }
 
 // withdraw gives up an endpoint that this node may not own any more.
@@ -323,8 +326,9 @@
 	l := Load{Service: id, Queue: len(t.queueOf(id).waiting)}
 	for _, p := range t.points {
 		if p.Service == id && p.usableAt(now) && !t.leaves(p.ID) {
-			l.Slots += p.Slots
-			l.Free += max(0, p.Slots-p.busy)
+			slots := p.allowed(now)
+			l.Slots += slots
+			l.Free += max(0, slots-p.busy)
 		}
 	}
 	return l
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -172,6 +172,11 @@
 		if s.Queue < 0 {
 			c.fail(KindRange, "service", i, "queue", "queue %d is negative", s.Queue)
 		}
+		for _, status := range s.Shed {
+			if status < 400 || status > 599 {
+				c.fail(KindRange, "service", i, "shed", "status %d is not in 400..599", status)
+			}
+		}
 		for _, op := range s.Idempotent {
 			method, path, ok := strings.Cut(op, " ")
 			if !ok || method == "" || !strings.HasPrefix(path, "/") {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -84,6 +84,9 @@
 	Idempotent []string `toml:"idempotent"`
 	// Deadline bounds a request that brings no shorter one.
 	Deadline Duration `toml:"deadline"`
+	// Shed lists the statuses by which an endpoint says that it did not run a
+	// request, since it has too much to do. Any other answer is the caller's.
+	Shed []int `toml:"shed"`
 	// Queue bounds the requests waiting at one entry VM for a slot.
 	Queue int `toml:"queue"`
 }
--- a/node/node.go
+++ b/node/node.go
@@ -98,6 +98,7 @@
 	regions   *region.Table
 	endpoints *endpoint.Table
 	bookings  *booking.Table
+	retries   *endpoint.Budget
 
 	store   *platform.Client
 	targets *http.Client
@@ -153,6 +154,7 @@
 	}
 	n.grants = newGrants(s.ID)
 	n.endpoints = endpoint.New(s.ID, n.incarnation)
+	n.retries = endpoint.NewBudget()
 	n.bookings = booking.New(s.ID, n.incarnation, o.Bookings, time.Now())
 	return n
 }
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -57,6 +57,7 @@
 	ReasonBudget      Reason = "budget"      // no retry left
 	ReasonPaused      Reason = "paused"      // the endpoint began to leave, or this process was paused
 	ReasonShed        Reason = "shed"        // the target refused
+	ReasonTarget      Reason = "target"      // no connection to the target
 )
 
 // answer is a whole answer on its way to a caller.
--- a/node/steer.go
+++ b/node/steer.go
@@ -25,13 +25,11 @@
 	if refusal != nil {
 		last = notRun(Reason(refusal.Reason), refusal.After)
 	}
+	n.retries.First()
 	for i, p := range places {
-		if i == maxAttempts {
+		if i > 0 && !n.mayTry(i, p, last) {
 			break
 		}
-		if i > 0 {
-			n.counters.retry(last.reason)
-		}
 		last = n.track(q, func() answer { return n.attempt(ctx, p, q) })
 		if !last.mayRetry(q) {
 			break
@@ -43,13 +41,6 @@
 	return last
 }
 
-func (a answer) mayRetry(q *request) bool {
-	if a.outcome == OutcomeRan || time.Now().After(q.deadline) {
-		return false
-	}
-	return a.outcome == OutcomeNotRun || !q.once
-}
-
 // places lists the nodes that own endpoints of a service, this one among them.
 func (n *Node) places(id inventory.ServiceID) []region.Place {
 	inv := n.config.Inventory()
@@ -98,7 +89,7 @@
 	case v.Ticket != nil:
 		slot, ok := n.await(ctx, v.Ticket, q.deadline)
 		if !ok {
-			return notRun(ReasonDeadline, 0)
+			return notRun(Reason(endpoint.ReasonLate), 0)
 		}
 		return n.sendToTarget(ctx, slot, q)
 	default:
@@ -111,8 +102,8 @@
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case s := <-k.Ready:
-		return s, true
+	case s, ok := <-k.Ready:
+		return s, ok
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -131,11 +122,15 @@
 	}
 	a := send(ctx, n.targets, "http://"+s.Address+q.path, q).fromTarget()
 	n.noteSignal(s.Endpoint, a)
-	if a.outcome == OutcomeUnknown {
+	a = n.judge(s, q, a)
+	switch a.outcome {
+	case OutcomeUnknown:
 		time.AfterFunc(time.Until(q.deadline)+endpoint.Transit, func() { n.endpoints.Release(time.Now(), s, 0) })
-		return a
+	case OutcomeNotRun:
+		n.endpoints.Release(time.Now(), s, 0)
+	default:
+		n.endpoints.Release(time.Now(), s, time.Since(began))
 	}
-	n.endpoints.Release(time.Now(), s, time.Since(began))
 	return a
 }
 
