Heartbeats without what has not changed; two watchers a failure domain; membership measured

Cause: each heartbeat carried all lists, 331 bytes at 9 nodes, and each node held a watch and read the list of VMs twice a second, which the platform would not serve to 6,000 nodes.

The first two nodes of a failure domain that live watch the head and read the list; the others hear it by heartbeats and look once a minute.

A peer request for a booking without a key broke off with a nil key; it is refused.

--- a/node/follow.go
+++ b/node/follow.go
@@ -73,7 +73,7 @@
 // a store that comes back older may give out a version once more, and a watch
 // that waits after that one would sleep through the change.
 func (n *Node) watchHead(ctx context.Context, seen platform.Version) (platform.Version, error) {
-	obj, err := n.store.Watch(ctx, configuration.HeadName, seen, watchWait)
+	obj, err := n.store.Watch(ctx, configuration.HeadName, seen, n.headWait(ctx))
 	if err != nil || obj.Name == "" {
 		return platform.Absent, err
 	}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -30,7 +30,8 @@
 }
 
 // followNeighbours starts and ends loops so that there is one for each entry VM
-// of the inventory, and for those left out that are still awaited. It is called under the node's configuration lock.
+// of the inventory, and for those left out that are still awaited. It is called
+// under the node's configuration lock.
 func (n *Node) followNeighbours(inv *inventory.Inventory) {
 	awaited := n.endpoints.Awaited()
 	for id, old := range n.neighbours.loops {
@@ -58,6 +59,21 @@
 	}
 }
 
+// beatStream is a connection for heartbeats with what was sent and received on
+// it before. Requests and answers take turns on it.
+type beatStream struct {
+	conn     *websocket.Conn
+	sender   member.Sender
+	receiver member.Receiver
+}
+
+func newBeatStream(conn *websocket.Conn) *beatStream {
+	conn.SetReadLimit(member.MaxMessage)
+	return &beatStream{conn: conn}
+}
+
+func (s *beatStream) close() { _ = s.conn.CloseNow() }
+
 // beatConnection exchanges heartbeats on one connection until it fails.
 func (n *Node) beatConnection(ctx context.Context, e inventory.Entry) {
 	began := time.Now()
@@ -73,10 +89,10 @@
 		}
 		return
 	}
-	defer func() { _ = conn.CloseNow() }()
-	conn.SetReadLimit(member.MaxMessage)
+	beats := newBeatStream(conn)
+	defer beats.close()
 	for ctx.Err() == nil {
-		if err := n.beat(ctx, conn, e.ID); err != nil {
+		if err := n.beat(ctx, beats, e.ID); err != nil {
 			klog.V(1).InfoS("heartbeat failed", "entry", e.ID, "err", err)
 			return
 		}
@@ -85,14 +101,14 @@
 }
 
 // beat sends one heartbeat and takes in the answer.
-func (n *Node) beat(ctx context.Context, conn *websocket.Conn, to inventory.EntryID) error {
+func (n *Node) beat(ctx context.Context, beats *beatStream, to inventory.EntryID) error {
 	ctx, cancel := context.WithTimeout(ctx, member.SuspectAfter)
 	defer cancel()
 	asked := time.Now()
-	if err := n.sendHeartbeat(ctx, conn, to); err != nil {
+	if err := n.sendHeartbeat(ctx, beats, to); err != nil {
 		return err
 	}
-	h, err := n.readHeartbeat(ctx, conn)
+	h, err := n.readHeartbeat(ctx, beats)
 	if err == nil && !h.Stale && h.Version <= n.config.Version() {
 		n.endpoints.Resume(time.Now(), asked)
 	}
@@ -110,44 +126,46 @@
 	if err != nil {
 		return
 	}
-	defer func() { _ = conn.CloseNow() }()
-	conn.SetReadLimit(member.MaxMessage)
+	beats := newBeatStream(conn)
+	defer beats.close()
 	limit := rate.NewLimiter(beatRate, beatRate)
 	for n.ctx.Err() == nil {
 		if !limit.Allow() {
 			n.counters.add("access.rate")
 			return
 		}
-		if err := n.answerHeartbeat(conn); err != nil {
+		if err := n.answerHeartbeat(beats); err != nil {
 			return
 		}
 	}
 }
 
-func (n *Node) answerHeartbeat(conn *websocket.Conn) error {
+func (n *Node) answerHeartbeat(beats *beatStream) error {
 	ctx, cancel := context.WithTimeout(n.ctx, member.SuspectAfter)
 	defer cancel()
-	h, err := n.readHeartbeat(ctx, conn)
+	h, err := n.readHeartbeat(ctx, beats)
 	if err != nil {
 		return err
 	}
-	return n.sendHeartbeat(ctx, conn, h.Entry)
+	return n.sendHeartbeat(ctx, beats, h.Entry)
 }
 
-func (n *Node) sendHeartbeat(ctx context.Context, conn *websocket.Conn, to inventory.EntryID) error {
-	data, err := n.heartbeat(to).Encode()
+func (n *Node) sendHeartbeat(ctx context.Context, beats *beatStream, to inventory.EntryID) error {
+	data, err := beats.sender.Encode(n.heartbeat(to))
 	if err != nil {
 		return err
 	}
-	return conn.Write(ctx, websocket.MessageBinary, data)
+	n.counters.add("member.messages")
+	n.counters.addN("member.bytes", int64(len(data)))
+	return beats.conn.Write(ctx, websocket.MessageBinary, data)
 }
 
-func (n *Node) readHeartbeat(ctx context.Context, conn *websocket.Conn) (member.Heartbeat, error) {
-	_, data, err := conn.Read(ctx)
+func (n *Node) readHeartbeat(ctx context.Context, beats *beatStream) (member.Heartbeat, error) {
+	_, data, err := beats.conn.Read(ctx)
 	if err != nil {
 		return member.Heartbeat{}, err
 	}
-	h, err := member.Decode(data)
+	h, err := beats.receiver.Decode(data)
 	if err != nil {
 		return h, err
 	}
--- a/node/once.go
+++ b/node/once.go
@@ -47,6 +47,9 @@
 // book runs an operation that this incarnation owns, or tells what became of
 // it.
 func (n *Node) book(ctx context.Context, q *request) answer {
+	if q.key == nil {
+		return answer{outcome: OutcomeNotRun, reason: ReasonDiffers, status: http.StatusBadRequest}
+	}
 	v := n.bookings.Begin(time.Now(), *q.key, q.digest())
 	switch v.Action {
 	case booking.Start:
--- a/node/vms.go
+++ b/node/vms.go
@@ -29,7 +29,7 @@
 // Timing of what is read at intervals.
 const (
 	listInterval     = 500 * time.Millisecond // of the nodes that read the list for their failure domain
-	spareInterval    = 10 * time.Second       // of the others
+	spareInterval    = time.Minute            // of the others
 	healthInterval   = time.Second
 	healthTimeout    = time.Second
 	healthConcurrent = 8
@@ -39,18 +39,35 @@
 func (n *Node) followVMs(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readVMs(ctx)
-		sleep(ctx, n.listPause())
+		sleep(ctx, listInterval)
+		n.awaitTurn(ctx)
 	}
 }
 
-// listPause keeps the readings of the whole fleet within what the platform
-// serves: a few nodes of each failure domain read often and tell the others.
-func (n *Node) listPause() time.Duration {
+// awaitTurn keeps the readings of the whole fleet within what the platform
+// serves: a few nodes of each failure domain read often and tell the others. It
+// returns when this node is one of them, or after spareInterval.
+func (n *Node) awaitTurn(ctx context.Context) {
+	for began := time.Now(); !n.reads() && time.Since(began) < spareInterval && ctx.Err() == nil; {
+		sleep(ctx, listInterval)
+	}
+}
+
+// reads reports whether this node reads the platform for its failure domain.
+func (n *Node) reads() bool {
 	inv := n.config.Inventory()
-	if inv == nil || member.Reads(inv, n.settings.ID, n.lives) {
-		return listInterval
+	return inv == nil || member.Reads(inv, n.settings.ID, n.lives)
+}
+
+// headWait is how long to wait at the platform for a new head. The nodes that
+// read for their failure domain watch; the others hear of a new version by the
+// heartbeats, and only look now and then.
+func (n *Node) headWait(ctx context.Context) time.Duration {
+	n.awaitTurn(ctx)
+	if n.reads() {
+		return watchWait
 	}
-	return spareInterval
+	return 0
 }
 
 // lives reports whether an entry VM was heard of lately.
