--- a/node/history_test.go
+++ b/node/history_test.go
@@ -110,7 +110,7 @@
 }
 
 func runHistory(t *testing.T, acts []act) []string {
-	h := &history{r: newRig(t, []byte(historyText)), off: map[inventory.EntryID]bool{}, got: map[string][]reply{}}
+	h := &history{r: newRigOn(t, []byte(historyText), rigNetwork()), off: map[inventory.EntryID]bool{}, got: map[string][]reply{}}
 	defer h.r.close()
 	h.r.limits = historyLimits
 	h.r.startAll()
