--- a/node/hop_test.go
+++ b/node/hop_test.go
@@ -191,3 +191,35 @@
 		})
 	}
 }
+
+func TestSurplusBehindAnAnswerReachesNobody(t *testing.T) {
+	for name, late := range map[string]time.Duration{"at once": 0, "late": 3 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			answerTwice := func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				for r, err := http.ReadRequest(reader); err == nil; r, err = http.ReadRequest(reader) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					own := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + r.URL.Path
+					if late == 0 {
+						_, _ = io.WriteString(conn, own+own)
+						continue
+					}
+					_, _ = io.WriteString(conn, own)
+					time.Sleep(late)
+					_, _ = io.WriteString(conn, own)
+				}
+			}
+			hop(t, answerTwice, func(t *testing.T, over Network) {
+				convey.Convey("What a target sends unasked is not taken for the next answer", t, func() {
+					client := &http.Client{Transport: newTransport(over, 1)}
+					for _, path := range []string{"/a", "/b", "/c"} {
+						a := send(t.Context(), client, "http://"+hopServer+path, hopRequest(http.MethodPost, "body"))
+						convey.So(string(a.body), convey.ShouldEqual, path)
+						time.Sleep(3 * late) // a late one that meets the next request cannot be told from its answer
+					}
+					client.CloseIdleConnections()
+				})
+			})
+		})
+	}
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -22,6 +22,7 @@
 	Answer   int           `json:"answer"`   // bytes of an answer; 0: a short one
 	Truncate bool          `json:"truncate"` // break off in the middle of the answer
 	Stall    bool          `json:"stall"`    // stop in the middle of the answer
+	Raw      string        `json:"raw"`      // what goes out for an answer, as it stands; then the connection ends
 	Shed     bool          `json:"shed"`     // refuse with 503
 	Spread   time.Duration `json:"spread"`   // mean of an exponential addition to Work, in nanoseconds
 	Slots    int           `json:"slots"`    // requests worked on at once, others wait; 0: all
@@ -269,6 +270,10 @@
 }
 
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, b Behaviour, body []byte) {
+	if b.Raw != "" {
+		writeRaw(w, b.Raw)
+		return
+	}
 	echo := Echo{Target: t.name, Method: r.Method, Path: r.URL.RequestURI(), Key: r.Header.Get("Idempotency-Key"), Body: string(body)}
 	echo.Fill = strings.Repeat("-", b.Answer)
 	data, err := json.Marshal(echo)
@@ -291,3 +296,13 @@
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// writeRaw sends bytes past the HTTP server and ends the connection.
+func writeRaw(w http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, raw)
+	_ = conn.Close()
+}
