--- a/node/shifts.go
+++ b/node/shifts.go
@@ -17,6 +17,9 @@
 // judges which regions serve.
 const shiftSettle = 8 * time.Second
 
+// shiftInterval is the time between steps of the moved blocks.
+const shiftInterval = 500 * time.Millisecond
+
 // spareShare is the part of a region's slots that is free when it has room for
 // more, in percent.
 const spareShare = 25
@@ -87,7 +90,7 @@
 			}
 			n.lookups.shifts.Ticked(now)
 		}
-		sleep(ctx, tickInterval)
+		sleep(ctx, shiftInterval)
 	}
 }
 
