--- a/inventory/budget.go
+++ b/inventory/budget.go
@@ -69,40 +69,29 @@
 // share among the entry VMs of the two regions, in whole units. What remains of
 // the division goes to those whose hash is lowest.
 func (inv *Inventory) FloorOf(b Budget, id EntryID) int64 {
-	sharers := inv.sharers(b.ID)
-	own := b.ID.score(id)
-	lower, found := int64(0), false
-	for _, e := range sharers {
-		if e == id {
-			found = true
-		} else if s := b.ID.score(e); s < own || (s == own && e < id) {
-			lower++
-		}
-	}
-	if !found {
+	n := int64(len(inv.near[b.ID.From]) + len(inv.near[b.ID.To]))
+	home := inv.RegionOf(inv.entries[id].Domain)
+	if n == 0 || home != b.ID.From && home != b.ID.To {
 		return 0
 	}
-	n := int64(len(sharers))
-	floor := b.Floors() / n
-	if lower < b.Floors()%n {
+	floor, rest := b.Floors()/n, b.Floors()%n
+	if rest > 0 && inv.lower(b.ID, id) < rest {
 		floor++
 	}
 	return floor
 }
 
-// sharers are the entry VMs of both regions, or all when these have none.
-func (inv *Inventory) sharers(id BudgetID) []EntryID {
-	var near, all []EntryID
-	for _, e := range inv.Entries {
-		all = append(all, e.ID)
-		if r := inv.RegionOf(e.Domain); r == id.From || r == id.To {
-			near = append(near, e.ID)
+// lower counts the entry VMs of both regions whose hash is below that of one.
+func (inv *Inventory) lower(b BudgetID, id EntryID) int64 {
+	count, own := int64(0), b.score(id)
+	for _, region := range []RegionID{b.From, b.To} {
+		for _, e := range inv.near[region] {
+			if s := b.score(e); s < own || (s == own && e < id) {
+				count++
+			}
 		}
 	}
-	if len(near) > 0 {
-		return near
-	}
-	return all
+	return count
 }
 
 func (id BudgetID) score(e EntryID) uint64 {
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -83,8 +83,11 @@
 		inv.services[s.ID] = s
 	}
 	inv.entries = map[EntryID]Entry{}
+	inv.near = map[RegionID][]EntryID{}
 	for _, e := range inv.Entries {
 		inv.entries[e.ID] = e
+		region := inv.domains[e.Domain]
+		inv.near[region] = append(inv.near[region], e.ID)
 	}
 	inv.blocks = map[BlockID]RegionID{}
 	for _, b := range inv.Blocks {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -172,6 +172,7 @@
 	domains  map[DomainID]RegionID
 	services map[ServiceID]Service
 	entries  map[EntryID]Entry
+	near     map[RegionID][]EntryID // entry VMs by region
 	blocks   map[BlockID]RegionID
 }
 
--- a/region/region.go
+++ b/region/region.go
@@ -136,9 +136,15 @@
 	if len(usable) == 0 && len(places) > 0 {
 		return nil, &Refusal{Reason: ReasonRoom, After: t.service(q.Service).took}
 	}
-	var list []candidate
+	list := make([]candidate, 0, len(usable))
+	refusals := map[inventory.RegionID]*Refusal{}
 	for _, p := range usable {
-		list = append(list, t.candidate(now, q, p))
+		r, judged := refusals[p.Region]
+		if !judged {
+			r = t.judge(now, q, p.Region)
+			refusals[p.Region] = r
+		}
+		list = append(list, candidate{Place: p, refused: r, cost: t.cost(q, p)})
 	}
 	slices.SortStableFunc(list, compare)
 	t.mix(list)
@@ -215,9 +221,10 @@
 	return p.Free > 0 && room[p.Region] > 0
 }
 
-func (t *Table) candidate(now time.Time, q Question, p Place) candidate {
-	m := Move{Service: q.Service, From: q.Home, To: p.Region, Bytes: q.Bytes}
-	return candidate{Place: p, refused: refusal(now, t.charges(m, t.service(q.Service).expected())), cost: t.cost(q, p)}
+// judge tells whether a request may move to a region now.
+func (t *Table) judge(now time.Time, q Question, to inventory.RegionID) *Refusal {
+	m := Move{Service: q.Service, From: q.Home, To: to, Bytes: q.Bytes}
+	return refusal(now, t.charges(m, t.service(q.Service).expected()))
 }
 
 // cost is the time that a place is expected to add, there and back, with the
