Hedge slow reads from the retry budget; a sent request runs to its end

Cause: a read at an endpoint that has become slow waited for it although another had room. A read that takes longer than the mean and four deviations of its service is sent to the second place too, the first whole answer counts, the other is cancelled: it leaves a queue at once, and what was sent to a target goes on there to its end. Before, a slot whose sender had left stayed occupied until the deadline, since nobody says when a cancelled request has ended; with a hedge in twelve requests that would have cost more slots than the requests.

TestRefusalByAPlaceFindsRoomElsewhere shows that a place which resigned or died just now costs no budget.

--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -186,3 +186,34 @@
 		})
 	}
 }
+
+func TestRefusalByAPlaceFindsRoomElsewhere(t *testing.T) {
+	for name, strike := range map[string]func(r *rig, owner *rigNode){
+		"its owner takes nothing any more": func(_ *rig, owner *rigNode) { owner.endpoints.Resign(time.Now()) },
+		"its process has just died":        func(r *rig, owner *rigNode) { r.kill(owner.settings.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, small(t), func(r *rig) {
+				convey.Convey("Requests sent before the others know are served by another place, without budget", r.t, func() {
+					first := r.ownerOf("catalogue-1")
+					convey.So(first, convey.ShouldNotEqual, r.ownerOf("catalogue-2"))
+					for _, n := range r.nodes {
+						for n.retries.Take() {
+							continue
+						}
+					}
+					strike(r, r.nodes[first])
+					for _, e := range r.inv.Entries {
+						for range 4 {
+							if e.ID == first {
+								continue
+							}
+							got := r.send(r.t.Context(), e.ID, http.MethodGet, "/serve/catalogue/x", "", "")
+							convey.So(got.status, convey.ShouldEqual, http.StatusOK)
+						}
+					}
+				})
+			})
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -99,6 +99,7 @@
 	endpoints *endpoint.Table
 	bookings  *booking.Table
 	retries   *endpoint.Budget
+	pace      *endpoint.Pace
 
 	store   *platform.Client
 	targets *http.Client
@@ -155,6 +156,7 @@
 	n.grants = newGrants(s.ID)
 	n.endpoints = endpoint.New(s.ID, n.incarnation)
 	n.retries = endpoint.NewBudget()
+	n.pace = endpoint.NewPace()
 	n.bookings = booking.New(s.ID, n.incarnation, o.Bookings, time.Now())
 	return n
 }
--- a/node/steer.go
+++ b/node/steer.go
@@ -26,14 +26,18 @@
 		last = notRun(Reason(refusal.Reason), refusal.After)
 	}
 	n.retries.First()
-	for i, p := range places {
-		if i > 0 && !n.mayTry(i, p, last) {
-			break
-		}
+	tried := 0
+	began := time.Now()
+	if len(places) > 0 {
+		last, tried = n.tryFirst(ctx, q, places)
+	}
+	for tried > 0 && tried < len(places) && last.mayRetry(q) && n.mayTry(tried, places[tried], last) {
+		p := places[tried]
 		last = n.track(q, func() answer { return n.attempt(ctx, p, q) })
-		if !last.mayRetry(q) {
-			break
-		}
+		tried++
+	}
+	if last.outcome == OutcomeRan && tried == 1 { // else it is not known which took how long
+		n.pace.Took(q.service.ID, time.Since(began))
 	}
 	if last.outcome == OutcomeNotRun {
 		n.counters.refusal(last.reason)
@@ -111,15 +115,29 @@
 	return endpoint.Slot{}, false
 }
 
-// sendToTarget runs a request at an endpoint. The slot stays occupied until
-// the request cannot be running there any more: when its answer is whole, or
-// else at its deadline, which the target knows.
+// sendToTarget runs a request at an endpoint. Once it is sent it goes on also
+// when its sender leaves: that frees the slot when the answer comes, and not as
+// late as the deadline, since nobody says when a cancelled request has ended.
 func (n *Node) sendToTarget(ctx context.Context, s endpoint.Slot, q *request) answer {
-	began := time.Now()
-	if !n.endpoints.MayStart(began, s) {
-		n.endpoints.Release(began, s, 0)
+	if now := time.Now(); ctx.Err() != nil || !n.endpoints.MayStart(now, s) {
+		n.endpoints.Release(now, s, 0)
 		return notRun(ReasonPaused, 0)
 	}
+	done := make(chan answer, 1)
+	go func() { done <- n.runAtTarget(context.WithoutCancel(ctx), s, q) }()
+	select {
+	case a := <-done:
+		return a
+	case <-ctx.Done():
+		return unknown(ReasonDeadline)
+	}
+}
+
+// runAtTarget occupies the slot until the request cannot be running there any
+// more: when its answer is whole, or else at its deadline, which the target
+// knows.
+func (n *Node) runAtTarget(ctx context.Context, s endpoint.Slot, q *request) answer {
+	began := time.Now()
 	a := send(ctx, n.targets, "http://"+s.Address+q.path, q).fromTarget()
 	n.noteSignal(s.Endpoint, a)
 	a = n.judge(s, q, a)
