--- a/node/hedge_test.go
+++ b/node/hedge_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
@@ -19,9 +20,11 @@
 			slow.SetBehaviour(standin.Behaviour{Work: 800 * time.Millisecond})
 			convey.Convey("reads there are answered by the other, and no slot is used twice", func() {
 				_, before := r.attempts()
+				owner := r.ownerOf("catalogue-1")
+				r.nodes[owner].retries = endpoint.NewBudget() // the load before may have hedged
 				for range 10 {
 					began := time.Now()
-					got := r.send(r.t.Context(), r.ownerOf("catalogue-1"), http.MethodGet, "/serve/catalogue/x", "", "")
+					got := r.send(r.t.Context(), owner, http.MethodGet, "/serve/catalogue/x", "", "")
 					convey.So(got.status, convey.ShouldEqual, http.StatusOK)
 					convey.So(time.Since(began), convey.ShouldBeLessThan, 200*time.Millisecond)
 				}
