Slots that shedding has taken come back after 10 s

Cause: a reduced limit grew with answers only, so an endpoint without traffic kept it for ever (TestHistoriesOfOperations: 2 of 3 slots after a minute). It ends 10 s after the last shedding.

--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -14,6 +14,8 @@
 	rampTime  = 10 * time.Second // from one slot to all of them
 	firstRest = time.Second      // after an attempt without a connection
 	maxRest   = 8 * time.Second  // after several in a row
+	// reducedFor ends a reduction that no answers have ended.
+	reducedFor = 10 * time.Second
 )
 
 // Result is what an attempt says of its endpoint.
@@ -30,20 +32,21 @@
 // health is what an endpoint may take by what it has shown.
 type health struct {
 	limit float64       // slots that it did not shed at; 0: all
+	shed  time.Time     // when the limit was lowered last
 	born  time.Time     // when it was new or came back; zero: not since this node began
 	until time.Time     // rests until then
 	rest  time.Duration // of the newest rest
 }
 
 // Note takes in the result of an attempt. An endpoint that sheds, or breaks off,
-// gets half as many requests at a time, and with each answer a little more
-// again. One that accepts no connection gets none for a while.
+// gets half as many requests at a time, with each answer a little more again,
+// and all after a while. One that accepts no connection gets none for a while.
 func (t *Table) Note(now time.Time, s Slot, r Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := s.point
 	h := &p.health
-	if h.limit == 0 || h.limit > float64(p.Slots) {
+	if !h.reduced(now) || h.limit > float64(p.Slots) {
 		h.limit = float64(p.Slots)
 	}
 	switch r {
@@ -52,16 +55,22 @@
 		h.rest = 0
 	case ResultShed, ResultUnanswered:
 		h.limit = max(h.limit/2, 1)
+		h.shed = now
 	case ResultRefused:
 		h.rest = min(max(2*h.rest, firstRest), maxRest)
 		h.until = now.Add(h.rest)
 	}
 }
 
+// reduced reports whether the limit holds.
+func (h health) reduced(now time.Time) bool {
+	return h.limit > 0 && now.Sub(h.shed) < reducedFor
+}
+
 // allowed is how many requests an endpoint may have at a time now.
 func (p *point) allowed(now time.Time) int {
 	n := p.Slots
-	if p.limit > 0 {
+	if p.reduced(now) {
 		n = min(n, int(p.limit))
 	}
 	since := now.Sub(p.born)
