--- a/cmd/wasabiwheel/soak_test.go
+++ b/cmd/wasabiwheel/soak_test.go
@@ -16,7 +16,9 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -219,13 +221,29 @@
 func (s *soak) race() {
 	var wait sync.WaitGroup
 	for _, author := range []string{"ana", "luis"} {
+		file := s.noted(author)
 		wait.Go(func() {
-			_ = exec.Command(binary, "apply", "--platform", "http://"+processPlatform, "--inventory", s.file, "--author", author, "--timeout", "2s").Run()
+			_ = exec.Command(binary, "apply", "--platform", "http://"+processPlatform, "--inventory", file, "--author", author, "--timeout", "2s").Run()
 		})
 	}
 	wait.Wait()
 }
 
+// noted writes the inventory with a note, since a file without a difference
+// makes no version.
+func (s *soak) noted(author string) string {
+	text, err := os.ReadFile(s.file)
+	if err != nil {
+		s.t.Error(err)
+	}
+	file := filepath.Join(s.t.TempDir(), author+".toml")
+	text = append([]byte("# "+author+" at "+time.Now().String()+"\n"), text...)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		s.t.Error(err)
+	}
+	return file
+}
+
 // watchVersions notes each node whose version goes down. A restarted process
 // may start lower, so its incarnation counts too.
 func (s *soak) watchVersions(ctx context.Context) {
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 )
@@ -108,7 +110,7 @@
 }
 
 func (c *checker) id(table string, i int, id string) {
-	if id == "" || strings.ContainsAny(id, " /?#") {
+	if id == "" || strings.ContainsAny(id, " /?#") || strings.IndexFunc(id, unicode.IsControl) >= 0 {
 		c.fail(KindRange, table, i, "id", "id %q is empty or has a space, '/', '?' or '#'", id)
 	}
 	key := table + " " + id
@@ -118,6 +120,12 @@
 	c.ids[key] = true
 }
 
+// ValidEntryID reports whether an id can name an entry VM: it becomes a part of
+// the keys of operations, and a part of URLs.
+func ValidEntryID(id EntryID) bool {
+	return id != "" && !strings.ContainsAny(string(id), " /?#.~") && strings.IndexFunc(string(id), unicode.IsControl) < 0
+}
+
 func (c *checker) ref(table string, i int, key, kind, id string) {
 	if !c.ids[kind+" "+id] {
 		c.fail(KindDangling, table, i, key, "no %s %q", kind, id)
@@ -126,7 +134,8 @@
 
 func (c *checker) address(table string, i int, key, addr string) {
 	host, port, err := net.SplitHostPort(addr)
-	if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || net.ParseIP(host) == nil || portErr != nil || number == 0 {
 		c.fail(KindRange, table, i, key, "%q is not an IP number with a port", addr)
 	}
 }
@@ -243,8 +252,8 @@
 func (c *checker) entryTable() {
 	for i, e := range c.inv.Entries {
 		c.id("entry", i, string(e.ID))
-		if strings.ContainsAny(string(e.ID), ".~") {
-			c.fail(KindRange, "entry", i, "id", "id %q has a '.' or '~'", e.ID)
+		if !ValidEntryID(e.ID) {
+			c.fail(KindRange, "entry", i, "id", "id %q is empty or has a character that ids may not have", e.ID)
 		}
 		c.ref("entry", i, "domain", "domain", string(e.Domain))
 		c.address("entry", i, "caller", e.Caller)
@@ -323,7 +332,20 @@
 			return
 		}
 	}
-	c.fail(KindEmpty, "drain", len(c.inv.Drains)-1, "entry", "no entry VM is left")
+	c.failEntries()
+}
+
+// failEntries blames the last drain when there is one.
+func (c *checker) failEntries() {
+	last := len(c.inv.Drains) - 1
+	if last >= 0 {
+		key, _ := c.inv.Drains[last].place()
+		c.fail(KindEmpty, "drain", last, key, "no entry VM is left")
+		return
+	}
+	if c.err == nil {
+		c.err = &Error{Op: "check", Kind: KindEmpty, File: c.file, Key: "entry", Err: errors.New("no entry VM is declared")}
+	}
 }
 
 // failCoverage blames the last drain when there is one, else the service.
--- a/node/settings.go
+++ b/node/settings.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/url"
 	"os"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -57,8 +58,8 @@
 
 // check returns the first fault with the key that it stands on.
 func (s Settings) check() (key string, err error) {
-	if s.ID == "" {
-		return "id", errors.New("id is missing")
+	if !inventory.ValidEntryID(s.ID) {
+		return "id", errors.Newf("id %q is empty or has a character that ids may not have", s.ID)
 	}
 	if s.Domain == "" {
 		return "domain", errors.New("domain is missing")
@@ -89,9 +90,29 @@
 	return "", nil
 }
 
+// Agree compares the settings with their entry of an inventory and returns the
+// first key that differs.
+func (s Settings) Agree(inv *inventory.Inventory) (key string, err error) {
+	e, ok := inv.Entry(s.ID)
+	if !ok {
+		return "id", errors.Newf("the inventory has no entry %q", s.ID)
+	}
+	for _, c := range []struct{ key, own, declared string }{
+		{"domain", string(s.Domain), string(e.Domain)},
+		{"caller", s.Caller, e.Caller},
+		{"peer", s.Peer, e.Peer},
+		{"admin", s.Admin, e.Admin},
+	} {
+		if c.own != c.declared {
+			return c.key, errors.Newf("%q here, %q in the inventory", c.own, c.declared)
+		}
+	}
+	return "", nil
+}
+
 func checkAddress(addr string) error {
 	host, port, err := net.SplitHostPort(addr)
-	if err != nil || net.ParseIP(host) == nil || port == "" {
+	if number, portErr := strconv.ParseUint(port, 10, 16); err != nil || net.ParseIP(host) == nil || portErr != nil || number == 0 {
 		return errors.Newf("%q is not an IP number with a port", addr)
 	}
 	return nil
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -36,6 +36,7 @@
 	LoseWrite  int           `json:"loseWrite"`  // of the next writes: they never take effect, the answer is cut off
 	LateWrite  int           `json:"lateWrite"`  // of the next writes: the answer is cut off, they take effect after LateBy
 	LateBy     time.Duration `json:"lateBy"`     // in nanoseconds
+	Forget     bool          `json:"forget"`     // once: all objects are lost
 	ListLag    time.Duration `json:"listLag"`    // by which the VM list is late, in nanoseconds
 }
 
@@ -156,6 +157,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if f.Forget {
+		p.Restore(Snapshot{})
+	}
 	p.SetFault(f)
 }
 
@@ -358,7 +362,8 @@
 func (p *Platform) Restore(s Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects = maps.Clone(s.objects)
+	p.objects = map[string]object{}
+	maps.Copy(p.objects, s.objects)
 	p.last = s.last
 	p.wake()
 }
