--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -228,3 +228,28 @@
 		})
 	})
 }
+
+// TestCostAtThePlatform prints what nodes and one change cost the platform; the
+// figures are in docs/CAPACITY.md.
+func TestCostAtThePlatform(t *testing.T) {
+	for name, text := range map[string][]byte{"lumbre": examples.Lumbre, "association": examples.Association} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, text, func(r *rig) {
+				nodes := float64(len(r.nodes))
+				before := r.platform.Counts()
+				time.Sleep(10 * time.Minute)
+				idle := r.platform.Counts()
+				t.Logf("idle: %.3f reads, %.3f writes a node and second, %.0f bytes read a node and second, %d watches waiting",
+					float64(idle.Reads-before.Reads)/nodes/600, float64(idle.Writes-before.Writes)/nodes/600, float64(idle.Read-before.Read)/nodes/600, idle.Watches)
+				r.publish(append([]byte("# change\n"), text...))
+				time.Sleep(inForce)
+				after := r.platform.Counts()
+				t.Logf("one change: %d writes, %d reads (%.1f a node), %d bytes written, %.0f bytes read a node",
+					after.Writes-idle.Writes, after.Reads-idle.Reads, float64(after.Reads-idle.Reads)/nodes, after.Written-idle.Written, float64(after.Read-idle.Read)/nodes)
+				if len(r.laggards(2)) > 0 {
+					t.Error(r.laggards(2))
+				}
+			})
+		})
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -188,6 +188,7 @@
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request, name string) {
+	p.countCall()
 	known := r.Header.Get("If-None-Match")
 	deadline := time.Now().Add(waitOf(r))
 	for {
@@ -209,6 +210,13 @@
 	}
 }
 
+// countCall counts a read once, however often a watch looks.
+func (p *Platform) countCall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Reads++
+}
+
 func (p *Platform) countRead(size int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -226,7 +234,6 @@
 func (p *Platform) look(name string) (object, bool, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counts.Reads++
 	o, ok := p.objects[name]
 	return o, ok, p.changed
 }
