--- a/inventory/check.go
+++ b/inventory/check.go
@@ -145,14 +145,24 @@
 	if r.Weigh == "" {
 		r.Weigh = WeighLatency
 	}
-	if r.Weigh != WeighLatency && r.Weigh != WeighHeadroom && c.err == nil {
-		c.err = &Error{Op: "check", Kind: KindRange, File: c.file, Line: c.lines["rules.weigh"], Key: "rules.weigh",
-			Err: errors.Newf("%q is neither %q nor %q", r.Weigh, WeighLatency, WeighHeadroom)}
+	if r.Weigh != WeighLatency && r.Weigh != WeighHeadroom {
+		c.failRule("weigh", errors.Newf("%q is neither %q nor %q", r.Weigh, WeighLatency, WeighHeadroom))
 	}
-	if r.DomainDelay.Duration < 0 && c.err == nil {
-		c.err = &Error{Op: "check", Kind: KindRange, File: c.file, Line: c.lines["rules.delay"], Key: "rules.delay",
-			Err: errors.New("delay is negative")}
+	if r.DomainDelay.Duration < 0 {
+		c.failRule("delay", errors.New("delay is negative"))
 	}
+	if r.Deadline.Duration < 0 || r.Deadline.Duration > maxDeadline {
+		c.failRule("deadline", errors.Newf("deadline %s is not in 0..%s", r.Deadline, maxDeadline))
+	}
+}
+
+// failRule records the first fault, on the line of a key of the rules.
+func (c *checker) failRule(key string, cause error) {
+	if c.err != nil {
+		return
+	}
+	path := "rules." + key
+	c.err = &Error{Op: "check", Kind: KindRange, File: c.file, Line: c.lines[path], Key: path, Err: cause}
 }
 
 func (c *checker) places() {
