--- a/standin/platform.go
+++ b/standin/platform.go
@@ -36,6 +36,7 @@
 	LoseWrite  int           `json:"loseWrite"`  // of the next writes: they never take effect, the answer is cut off
 	LateWrite  int           `json:"lateWrite"`  // of the next writes: the answer is cut off, they take effect after LateBy
 	LateBy     time.Duration `json:"lateBy"`     // in nanoseconds
+	Forget     bool          `json:"forget"`     // once: all objects are lost
 	ListLag    time.Duration `json:"listLag"`    // by which the VM list is late, in nanoseconds
 }
 
@@ -156,6 +157,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if f.Forget {
+		p.Restore(Snapshot{})
+	}
 	p.SetFault(f)
 }
 
@@ -184,6 +188,7 @@
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request, name string) {
+	p.countCall()
 	known := r.Header.Get("If-None-Match")
 	deadline := time.Now().Add(waitOf(r))
 	for {
@@ -205,6 +210,13 @@
 	}
 }
 
+// countCall counts a read once, however often a watch looks.
+func (p *Platform) countCall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Reads++
+}
+
 func (p *Platform) countRead(size int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,7 +234,6 @@
 func (p *Platform) look(name string) (object, bool, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counts.Reads++
 	o, ok := p.objects[name]
 	return o, ok, p.changed
 }
@@ -358,7 +369,8 @@
 func (p *Platform) Restore(s Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects = maps.Clone(s.objects)
+	p.objects = map[string]object{}
+	maps.Copy(p.objects, s.objects)
 	p.last = s.last
 	p.wake()
 }
