Only the wait for a slot is shortened for a request that was handed over

Cause: with less time for each hop a request with 900 ms of work and 1 s of time was cut off at its target after two hops (TestRepeatsOfAnOperation: unknown for ran). The margin is now kept where it is needed: in the queue of the owner. Ruled out: the target and the deadline given to it, which are as before.

--- a/node/hop.go
+++ b/node/hop.go
@@ -70,21 +70,10 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// returnMargin is kept for the way back of another node's answer, so that its
-// refusal arrives before the deadline.
-const returnMargin = 50 * time.Millisecond
-
-// returnShare bounds the margin to a part of the time that is left.
-const returnShare = 4
-
-// millisLeft is the time that the next hop has, rounded up so that it is never
-// 0. A target has all that is left, another node leaves some for the way back.
+// millisLeft is the time that is left, rounded up so that it is never 0.
 func (q *request) millisLeft() string {
-	left := max(0, time.Until(q.deadline))
-	if q.passed {
-		left -= min(returnMargin, left/returnShare)
-	}
-	return strconv.FormatInt(left.Milliseconds()+1, 10)
+	left := time.Until(q.deadline).Milliseconds()
+	return strconv.FormatInt(max(left, 0)+1, 10)
 }
 
 // sendFailure judges a call that brought no answer. With no connection nothing
--- a/node/peers.go
+++ b/node/peers.go
@@ -56,6 +56,7 @@
 
 // serveHandedOver serves a request that another node handed over.
 func (n *Node) serveHandedOver(ctx context.Context, q *request) answer {
+	q.handed = true
 	return n.serveHere(q.lifetime(ctx), q)
 }
 
--- a/node/request.go
+++ b/node/request.go
@@ -40,6 +40,7 @@
 	once     bool               // may run at most once
 	booked   bool               // this node keeps the record of the operation
 	passed   bool               // it goes to another node
+	handed   bool               // it came from another node
 }
 
 // hopHeaders are not passed on (RFC 9110, 7.6.1).
--- a/node/steer.go
+++ b/node/steer.go
@@ -91,7 +91,7 @@
 	case v.Refusal != nil:
 		return notRun(Reason(v.Refusal.Reason), v.Refusal.After)
 	case v.Ticket != nil:
-		slot, ok := n.await(ctx, v.Ticket, q.deadline)
+		slot, ok := n.await(ctx, v.Ticket, q.waitLimit())
 		if !ok {
 			return notRun(Reason(endpoint.ReasonLate), 0)
 		}
@@ -101,6 +101,22 @@
 	}
 }
 
+// returnMargin is kept for the way back of a refusal to another node, so that it
+// arrives before that node gives up.
+const returnMargin = 50 * time.Millisecond
+
+// returnShare bounds the margin to a part of the time that is left.
+const returnShare = 4
+
+// waitLimit is until when a request may wait for a slot.
+func (q *request) waitLimit() time.Time {
+	if !q.handed {
+		return q.deadline
+	}
+	left := max(0, time.Until(q.deadline))
+	return q.deadline.Add(-min(returnMargin, left/returnShare))
+}
+
 // await waits for a slot until the deadline.
 func (n *Node) await(ctx context.Context, k *endpoint.Ticket, deadline time.Time) (endpoint.Slot, bool) {
 	timer := time.NewTimer(time.Until(deadline))
