--- a/node/once_test.go
+++ b/node/once_test.go
@@ -124,6 +124,7 @@
 	bubble(t, []byte(onceText), func(r *rig) {
 		convey.Convey("Repeats of an operation", r.t, func() {
 			ctx, key := r.t.Context(), r.token("o-2", onceKeys)+"~operation-"+strconv.FormatInt(time.Now().UnixNano(), 10)
+			r.targets[onceTarget].SetBehaviour(standin.Behaviour{Work: 10 * time.Millisecond})
 			convey.Convey("at once and later, to all entry VMs, run it once and get one answer", func() {
 				replies := make([]reply, 12)
 				var wait sync.WaitGroup
