Test that an operation without a key is tried at one place only

Cause: the histories send keyed operations, where the record refuses a second send; without a key only the retry decision guards it, and no test did. TestOperationWithoutKeyIsNotRepeated: truncated, stalled and missing answers with a second place at hand, from each of three entry VMs.

--- a/node/once_test.go
+++ b/node/once_test.go
@@ -302,3 +302,37 @@
 		})
 	}
 }
+
+func TestOperationWithoutKeyIsNotRepeated(t *testing.T) {
+	for name, b := range map[string]standin.Behaviour{
+		"truncated answer": {Truncate: true},
+		"stalled answer":   {Stall: true},
+		"no answer":        {Raw: "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, []byte(historyText), func(r *rig) {
+				convey.Convey("What may have run at one place is not tried at the other", r.t, func() {
+					for _, target := range r.targets {
+						target.SetBehaviour(b)
+					}
+					for i, e := range r.inv.Entries {
+						p := r.order(r.t.Context(), e.ID, "", "body", time.Second)
+						convey.So(p.outcome, convey.ShouldEqual, OutcomeUnknown)
+						convey.So(p.header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+						time.Sleep(2 * time.Second) // until the slots are free
+						convey.So(r.served(), convey.ShouldEqual, i+1)
+					}
+				})
+			})
+		})
+	}
+}
+
+// served counts what the targets ran.
+func (r *rig) served() int {
+	sum := 0
+	for _, t := range r.targets {
+		sum += t.Ledger().Served
+	}
+	return sum
+}
