--- a/cmd/wasabiwheel/change_test.go
+++ b/cmd/wasabiwheel/change_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -100,6 +101,20 @@
 	})
 }
 
+func TestWaitListsLaggards(t *testing.T) {
+	_, nodes := startSystem(t, "testdata/small.toml")
+	convey.Convey("A node that is paused is a laggard, and the command fails", t, func() {
+		convey.So(nodes[2].Process.Signal(syscall.SIGSTOP), convey.ShouldBeNil)
+		got := command("drain", "--platform", "http://"+processPlatform, "--node", processPlatform, "--timeout", "3s", "--wait", "endpoint", "catalogue-1")
+		convey.So(nodes[2].Process.Signal(syscall.SIGCONT), convey.ShouldBeNil)
+		convey.So(got.code, convey.ShouldEqual, exitFailed)
+		convey.So(got.out, convey.ShouldContainSubstring, "version 2 is accepted\n")
+		convey.So(got.errors, convey.ShouldContainSubstring, "version 2 is not in force at ")
+		convey.So(got.errors, convey.ShouldContainSubstring, "c-3")
+		convey.So(operate("apply", "--inventory", localInventory(t, "testdata/small.toml"), "--wait").code, convey.ShouldEqual, 0)
+	})
+}
+
 func TestApplyAsksANodeWhenTheStoreIsOlder(t *testing.T) {
 	inv, _ := startSystem(t, "testdata/small.toml")
 	convey.Convey("The change builds on what nodes have in force", t, func() {
