Commands ask the nodes before they read the store

Cause: a command read all parts of the version in force from the store before it asked the nodes, and its client kept to a node's rate of 20 calls a second: 155 reads, over 7 s, at 10,000 endpoints. It now asks the nodes of the new file first, takes the parts from them, and may make 100 calls a second.

TestOperatorsChangeWhatIsInForce, TestApplyAsksANodeWhenTheStoreIsOlder and TestWaitListsLaggards pass as before. The time at 10,000 endpoints was worked out, not measured.

--- a/cmd/wasabiwheel/change.go
+++ b/cmd/wasabiwheel/change.go
@@ -20,8 +20,15 @@
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
-// askTimeout bounds the question to a node.
-const askTimeout = 2 * time.Second
+const (
+	askTimeout    = 2 * time.Second // for the answer of a node
+	operatorCalls = 100             // to the platform, a second; a version has many parts
+)
+
+// newStore returns an operator's client of the platform.
+func newStore(base string) *platform.Client {
+	return platform.New(platform.Options{Base: base, Calls: operatorCalls})
+}
 
 type changeFlags struct {
 	Platform string        `long:"platform" required:"true" value-name:"URL" description:"the platform"`
@@ -64,7 +71,7 @@
 		return err
 	}
 	c.key = key
-	c.store = platform.New(platform.Options{Base: f.Platform})
+	c.store = newStore(f.Platform)
 	c.change.Author = f.Author
 	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
 	defer cancel()
@@ -128,12 +135,16 @@
 	fmt.Fprintf(os.Stderr, "wasabiwheel: "+format+"\n", args...)
 }
 
-// present reads what is in force, in the store and at the nodes.
+// present reads what is in force, in the store and at the nodes, and tells when
+// they differ.
 func (c *changer) present(ctx context.Context) (configuration.Present, error) {
-	present, err := configuration.ReadPresent(ctx, c.store, configuration.Bundle{})
-	known, asked := c.ask(ctx, c.addresses(present))
-	if known.Head.Version > 0 {
-		present, err = configuration.ReadPresent(ctx, c.store, known)
+	known, asked := c.ask(ctx, c.addresses(c.entries))
+	present, err := configuration.ReadPresent(ctx, c.store, known)
+	if known.Head.Version == 0 && present.Inventory != nil {
+		known, asked = c.ask(ctx, c.addresses(present.Inventory.Entries))
+		if known.Head.Version > 0 {
+			present, err = configuration.ReadPresent(ctx, c.store, known)
+		}
 	}
 	if err != nil {
 		return present, err
@@ -143,7 +154,7 @@
 	case present.Standing != configuration.StandingCurrent:
 		tell("the store's configuration is %s: it holds version %d, nodes have %s in force; the change builds on theirs and becomes version %d",
 			present.Standing, present.Store, describe(present.Head.Accepted), next)
-	case known.Head.Version == 0 && asked > 0 && present.Head.Version > 0:
+	case known.Head.Version == 0 && present.Head.Version > 0:
 		tell("none of %d nodes told what it has in force; the change builds on what the store holds, version %d", asked, present.Store)
 	}
 	if c.refuse != nil {
@@ -153,21 +164,13 @@
 }
 
 // addresses returns the admin addresses of the nodes to ask.
-func (c *changer) addresses(p configuration.Present) []string {
+func (c *changer) addresses(entries []inventory.Entry) []string {
 	if len(c.flags.Node) > 0 {
 		return c.flags.Node
 	}
-	seen := map[string]bool{}
-	entries := c.entries
-	if p.Inventory != nil {
-		entries = append(entries, p.Inventory.Entries...)
-	}
 	var all []string
 	for _, e := range entries {
-		if !seen[e.Admin] {
-			all = append(all, e.Admin)
-		}
-		seen[e.Admin] = true
+		all = append(all, e.Admin)
 	}
 	return all
 }
--- a/cmd/wasabiwheel/history.go
+++ b/cmd/wasabiwheel/history.go
@@ -12,7 +12,6 @@
 
 	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
-	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
 type historyCommand struct {
@@ -25,7 +24,7 @@
 func (c *historyCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	head, _, err := configuration.Read(ctx, platform.New(platform.Options{Base: c.Platform}))
+	head, _, err := configuration.Read(ctx, newStore(c.Platform))
 	if err != nil {
 		return err
 	}
@@ -73,7 +72,7 @@
 func (c *rollbackCommand) past(v inventory.Version) (configuration.Content, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	store := platform.New(platform.Options{Base: c.Platform})
+	store := newStore(c.Platform)
 	head, _, err := configuration.Read(ctx, store)
 	if err != nil {
 		return configuration.Content{}, err
