--- a/node/access_test.go
+++ b/node/access_test.go
@@ -160,3 +160,9 @@
 		})
 	}
 }
+
+func BenchmarkCode(b *testing.B) {
+	for b.Loop() {
+		Code(rigKey, "10.0.0.1:7001")
+	}
+}
--- a/node/scale_test.go
+++ b/node/scale_test.go
@@ -246,3 +246,77 @@
 		})
 	})
 }
+
+// TestHeartbeatsByTables has the tables of so many nodes exchange encoded
+// heartbeats, with no network between them, for more nodes than run whole on
+// one machine.
+func TestHeartbeatsByTables(t *testing.T) {
+	const rounds = 4
+	for _, text := range strings.Split(*scaleMembers, ",") {
+		count, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(text, func(t *testing.T) {
+			convey.Convey("Each node comes to know all others", t, func() {
+				nodes := tableNodes(t, count)
+				senders, receivers := make([]member.Sender, count*count), make([]member.Receiver, count*count)
+				bytes, spent := 0, time.Duration(0)
+				for round := range rounds {
+					before := processorTime(t)
+					bytes = 0
+					for i, from := range nodes {
+						for j, to := range nodes {
+							if i == j {
+								continue
+							}
+							data, err := senders[i*count+j].Encode(from.heartbeat(to.settings.ID))
+							if err != nil {
+								t.Fatal(err)
+							}
+							h, err := receivers[i*count+j].Decode(data)
+							if err != nil {
+								t.Fatal(err)
+							}
+							to.heard(h)
+							bytes += len(data)
+						}
+					}
+					spent = processorTime(t) - before
+					t.Logf("%d nodes, round %d: %.0f B and %.3f ms for one heartbeat of each to all", count, round+1,
+						float64(bytes)/float64(count), 1000*spent.Seconds()/float64(count))
+				}
+				convey.So(unknownPairs(nodes), convey.ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+// unknownPairs counts the pairs of which one does not know the other's
+// incarnation.
+func unknownPairs(nodes []*Node) int {
+	unknown := 0
+	for _, n := range nodes {
+		for _, other := range nodes {
+			if n != other && n.members.Incarnation(other.settings.ID) != other.incarnation {
+				unknown++
+			}
+		}
+	}
+	return unknown
+}
+
+// tableNodes returns nodes that run nothing, with an inventory in force.
+func tableNodes(t *testing.T, count int) []*Node {
+	inv, err := inventory.Parse("scale", scaleInventory(count))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var nodes []*Node
+	for _, e := range inv.Entries {
+		n := New(Settings{ID: e.ID, Domain: e.Domain}, Options{})
+		n.endpoints.SetInventory(time.Now(), inv)
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
