The experiment as a package and a command

Cause: the tool that measures ways of steering stood in test files, could not be run by a user, and made up a good part of the tests. It is now package experiment, run by 'wasabiwheel experiment' in real time and by its test on the paused clock. Its checks are as before.

--- /dev/null
+++ b/cmd/wasabiwheel/experiment.go
@@ -0,0 +1,96 @@
+package main
+
+// The command that measures ways of steering against each other, in real time.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiwheel/wasabiwheel/examples"
+	"github.com/wasabiwheel/wasabiwheel/experiment"
+)
+
+type experimentCommand struct {
+	Inventory string        `long:"inventory" value-name:"FILE" description:"inventory of the deployment (default: the Lumbre example)"`
+	Scenario  []string      `long:"scenario" description:"scenario to run (may be repeated; default: all)"`
+	System    []string      `long:"system" description:"way of steering to run (may be repeated; default: all)"`
+	Duration  time.Duration `long:"duration" default:"5s" description:"measured time of each run"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of the load and the network"`
+	Plot      string        `long:"plot" value-name:"FILE" description:"write a plot too (svg, png or pdf by its ending)"`
+	JSON      bool          `long:"json" description:"print JSON, one line a run"`
+}
+
+// Execute runs all chosen combinations, one after the other.
+func (c *experimentCommand) Execute([]string) error {
+	name, text := "lumbre", examples.Lumbre
+	if c.Inventory != "" {
+		data, err := os.ReadFile(c.Inventory)
+		if err != nil {
+			return &Error{Op: "experiment", Kind: KindFailed, Err: err}
+		}
+		name, text = c.Inventory, data
+	}
+	if !c.JSON {
+		experiment.WriteHead(output)
+	}
+	var rows []experiment.Row
+	for _, scenario := range c.scenarios() {
+		for _, system := range c.systems() {
+			row, err := c.run(name, text, scenario, system)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, row)
+		}
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return experiment.Plot(c.Plot, name, rows)
+}
+
+func (c *experimentCommand) run(name string, text []byte, scenario experiment.Scenario, system experiment.System) (experiment.Row, error) {
+	o := experiment.Options{Inventory: text, Scenario: scenario, System: system, Duration: c.Duration, Seed: c.Seed}
+	m, err := experiment.Run(context.Background(), o)
+	if err != nil {
+		return experiment.Row{}, err
+	}
+	row := experiment.Row{Deployment: name, Scenario: scenario, System: system, Measure: m}
+	if !c.JSON {
+		row.Write(output)
+		return row, nil
+	}
+	data, err := json.Marshal(row)
+	if err != nil {
+		return row, &Error{Op: "experiment", Kind: KindFailed, Err: errors.Wrap(err, "row")}
+	}
+	fmt.Fprintln(output, string(data))
+	return row, nil
+}
+
+func (c *experimentCommand) scenarios() []experiment.Scenario {
+	if len(c.Scenario) == 0 {
+		return experiment.Scenarios
+	}
+	var chosen []experiment.Scenario
+	for _, s := range c.Scenario {
+		chosen = append(chosen, experiment.Scenario(s))
+	}
+	return chosen
+}
+
+func (c *experimentCommand) systems() []experiment.System {
+	if len(c.System) == 0 {
+		return experiment.Systems
+	}
+	var chosen []experiment.System
+	for _, s := range c.System {
+		chosen = append(chosen, experiment.System(s))
+	}
+	return chosen
+}
--- /dev/null
+++ b/experiment/error.go
@@ -0,0 +1,24 @@
+package experiment
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindSetup Kind = "setup" // something could not be started
+	KindReady Kind = "ready" // the nodes did not become ready
+	KindPlot  Kind = "plot"  // the plot could not be written
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the failure as "op: kind: cause".
+func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,177 @@
+// Package experiment measures ways of steering against each other: whole nodes,
+// simple baselines, and an oracle that knows everything, on the same load, the
+// same network in memory and the same faults.
+//
+// It uses the clock of the runtime, so that it runs in real time from a command,
+// and on a paused clock in a synctest bubble. All that it starts has ended when
+// Run returns.
+//
+// # Usage
+//
+//	m, err := experiment.Run(ctx, experiment.Options{
+//		Inventory: examples.Lumbre,
+//		Scenario:  "domain lost",
+//		System:    "wasabiwheel",
+//		Duration:  10 * time.Second,
+//		Seed:      1,
+//	})
+//	fmt.Println(m.P99, m.Peak)
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+// Load and work of a run.
+const (
+	work        = 60 * time.Millisecond // least time of a request
+	spread      = 40 * time.Millisecond // mean of the exponential addition
+	warm        = 4 * time.Second       // before measuring
+	faultAfter  = 3 * time.Second       // from the start of measuring
+	blocks      = 8                     // callers of each region
+	sampleEvery = 20 * time.Millisecond
+	callerDelay = 8 * time.Millisecond // one way between callers and entry VMs
+	backlog     = 8                    // requests that may wait at a target
+	patience    = 4 * time.Second      // of a caller
+	percent     = 100
+)
+
+// Scenario names a load with what goes wrong.
+type Scenario string
+
+// System names a way of steering.
+type System string
+
+// scenario is load and what goes wrong.
+type scenario struct {
+	load  float64 // of the capacity
+	cold  int     // requests of each target on a cold cache
+	loss  float64 // of segments between regions
+	lie   int     // each how many-th target reports no load; 0: none
+	fault func(r *run)
+}
+
+// Scenarios lists the scenarios in the order of the table.
+var Scenarios = []Scenario{"steady", "double load", "cold caches", "domain lost", "region lost", "lossy link", "misleading reports"}
+
+var scenarios = map[Scenario]scenario{
+	"steady":             {load: 0.6},
+	"double load":        {load: 2},
+	"cold caches":        {load: 0.6, cold: 20},
+	"domain lost":        {load: 0.5, fault: loseDomain},
+	"region lost":        {load: 0.5, fault: loseRegion},
+	"lossy link":         {load: 0.6, loss: 0.05},
+	"misleading reports": {load: 0.6, lie: 3},
+}
+
+// Systems lists the ways of steering in the order of the table.
+var Systems = []System{"oracle", "wasabiwheel", "two choices", "least load", "random"}
+
+var systems = map[System]func(ctx context.Context, r *run) error{
+	"wasabiwheel": startNodes,
+	"random":      startBaseline(chooseRandom),
+	"least load":  startBaseline(chooseLeast),
+	"two choices": startBaseline(chooseTwo),
+	"oracle":      startOracle,
+}
+
+// Options says what to run.
+type Options struct {
+	Inventory []byte // TOML
+	Scenario  Scenario
+	System    System
+	Duration  time.Duration // measured
+	Seed      uint64
+}
+
+// Measure is what one run showed. Latencies are of answered requests, as the
+// callers saw them.
+type Measure struct {
+	P50     time.Duration  `json:"p50"` // nanoseconds
+	P99     time.Duration  `json:"p99"`
+	Sent    int            `json:"sent"`
+	Good    int            `json:"good"`   // answered in time
+	Rate    float64        `json:"rate"`   // good per second
+	Peak    float64        `json:"peak"`   // most requests at an endpoint, by its slots
+	Region  float64        `json:"region"` // most requests in a region, by its slots
+	Refused int            `json:"refused"`
+	Other   int            `json:"other"`   // unknown or broken
+	Twice   int            `json:"twice"`   // once-only operations that ran more than once
+	Reasons map[string]int `json:"reasons"` // of refusals and unknown outcomes
+}
+
+// run is one run.
+type run struct {
+	*deployment
+	scenario scenario
+	duration time.Duration
+	random   *rand.Rand
+	callers  map[inventory.RegionID][]sender
+
+	mu    sync.Mutex
+	lost  map[string]bool         // IP numbers
+	times *hdrhistogram.Histogram // microseconds
+	m     Measure
+}
+
+// Run runs one scenario on one way of steering. It fails with KindSetup or
+// KindReady.
+func Run(ctx context.Context, o Options) (Measure, error) {
+	s, ok := scenarios[o.Scenario]
+	start, known := systems[o.System]
+	if !ok || !known {
+		return Measure{}, &Error{Op: "run", Kind: KindSetup, Err: errors.Newf("no scenario %q or no system %q", o.Scenario, o.System)}
+	}
+	r := &run{
+		scenario: s,
+		duration: o.Duration,
+		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		callers:  map[inventory.RegionID][]sender{},
+		lost:     map[string]bool{},
+		times:    hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		m:        Measure{Reasons: map[string]int{}},
+	}
+	var err error
+	if r.deployment, err = newDeployment(ctx, o.Inventory, o.Seed, s.loss); err != nil {
+		return Measure{}, err
+	}
+	defer r.close()
+	r.setTargets()
+	r.makeCallers()
+	if err := start(ctx, r); err != nil {
+		return Measure{}, err
+	}
+	r.load(ctx)
+	return r.result(), nil
+}
+
+func (r *run) result() Measure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.m
+	m.P50 = time.Duration(r.times.ValueAtQuantile(50)) * time.Microsecond
+	m.P99 = time.Duration(r.times.ValueAtQuantile(99)) * time.Microsecond
+	m.Rate = float64(m.Good) / r.duration.Seconds()
+	ran := map[string]int{}
+	for _, e := range r.inv.Endpoints {
+		l := r.targets[e.ID].Ledger()
+		m.Peak = max(m.Peak, float64(l.Peak)/float64(e.Slots))
+		for key, times := range l.Keys {
+			ran[key] += times
+		}
+	}
+	for _, times := range ran {
+		if times > 1 {
+			m.Twice++
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"context"
+	"flag"
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"k8s.io/klog/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/examples"
+)
+
+var (
+	fullTable = flag.Bool("full", false, "run all scenarios on the paused clock; write the table and the plots")
+	fullTime  = flag.Duration("fulltime", 10*time.Second, "measured time of each run of the table")
+)
+
+// Goals of steady load, as the users state them.
+const (
+	goalLatency = 1.15 // p99 by that of the oracle
+	goalPeak    = 1.0  // most requests at an endpoint by its slots
+	seed        = 1
+)
+
+var deployments = map[string][]byte{"lumbre": examples.Lumbre, "association": examples.Association}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	os.Exit(m.Run())
+}
+
+// inBubble runs one scenario on the paused clock of a bubble.
+func inBubble(t *testing.T, o Options) Measure {
+	t.Helper()
+	var m Measure
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		if m, err = Run(context.Background(), o); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(closeWait)
+	})
+	return m
+}
+
+func TestSteadyLoadIsServedLikeByAnOracle(t *testing.T) {
+	const measured = 3 * time.Second
+	for name, text := range deployments {
+		t.Run(name, func(t *testing.T) {
+			got := inBubble(t, Options{Inventory: text, Scenario: "steady", System: "wasabiwheel", Duration: measured, Seed: seed})
+			best := inBubble(t, Options{Inventory: text, Scenario: "steady", System: "oracle", Duration: measured, Seed: seed})
+			t.Logf("wasabiwheel %+v", got)
+			t.Logf("oracle      %+v", best)
+			convey.Convey("Steady load is served whole, within the slots, and about as fast", t, func() {
+				convey.So(got.Peak, convey.ShouldBeLessThanOrEqualTo, goalPeak)
+				convey.So(got.Good, convey.ShouldEqual, got.Sent)
+				convey.So(got.Twice, convey.ShouldEqual, 0)
+				convey.So(got.P99.Seconds()/best.P99.Seconds(), convey.ShouldBeLessThanOrEqualTo, goalLatency)
+			})
+		})
+	}
+}
+
+// TestTable writes docs/steering-*.svg and prints the table:
+//
+//	go test ./experiment -run TestTable -full -timeout 60m
+func TestTable(t *testing.T) {
+	WriteHead(os.Stdout)
+	for name, text := range deployments {
+		var rows []Row
+		for _, s := range Scenarios {
+			if !*fullTable {
+				break
+			}
+			for _, sys := range Systems {
+				m := inBubble(t, Options{Inventory: text, Scenario: s, System: sys, Duration: *fullTime, Seed: seed})
+				row := Row{Deployment: name, Scenario: s, System: sys, Measure: m}
+				row.Write(os.Stdout)
+				rows = append(rows, row)
+			}
+		}
+		if *fullTable {
+			convey.Convey("The plot is written", t, func() {
+				convey.So(Plot("../docs/steering-"+name+".svg", name, rows), convey.ShouldBeNil)
+			})
+		}
+	}
+}
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -228,24 +228,6 @@
 	}
 }
 
-// anyConfig returns a table with the rig's inventory in force.
-func (r *rig) anyConfig() *configuration.Table {
-	ctx := r.t.Context()
-	head, _, err := configuration.Read(ctx, r.store())
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	b, err := configuration.Fetch(ctx, configuration.StoreSource{Store: r.store()}, head, configuration.Bundle{})
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	table := configuration.New()
-	if err := table.Offer(b); err != nil {
-		r.t.Fatal(err)
-	}
-	return table
-}
-
 // reply is what a caller got. err is set when there was no whole answer.
 type reply struct {
 	status  int
