--- a/cmd/wasabiwheel/main.go
+++ b/cmd/wasabiwheel/main.go
@@ -30,19 +30,20 @@
 
 // commands lists all commands with their flags.
 type commands struct {
-	Node     nodeCommand     `command:"node" description:"run a node on an entry VM"`
-	Apply    applyCommand    `command:"apply" description:"put an inventory in force" long-description:"Checks an inventory, shows the difference to what is in force, and puts it in force. Drains by command stay. A file without a difference makes no version."`
-	Drain    drainCommand    `command:"drain" description:"give a place no new work" long-description:"Gives a place no new work, whatever the inventory's file says, until undrain."`
-	Undrain  undrainCommand  `command:"undrain" description:"take a drain by command back" long-description:"Takes back a drain that was made by command. A drain of the inventory's file is taken out there."`
-	History  historyCommand  `command:"history" description:"list the accepted versions"`
-	Rollback rollbackCommand `command:"rollback" description:"put the file of a past version in force as a new version" long-description:"Puts the file of a past version in force as a new version. Drains by command stay as they are."`
-	Check    checkCommand    `command:"check" description:"check settings and inventory files"`
-	Lookup   lookupCommand   `command:"lookup" description:"ask a node which entry VMs to use"`
-	Status   statusCommand   `command:"status" description:"read the status of nodes"`
-	Load     loadCommand     `command:"load" description:"put load on nodes and measure"`
-	Standin  standinCommand  `command:"standin" description:"run stand-ins of the platform and of targets, for trials"`
-	Version  versionCommand  `command:"version" description:"print the version"`
-	Try      tryCommand      `command:"try" description:"run the whole path in one process on stand-ins"`
+	Node       nodeCommand       `command:"node" description:"run a node on an entry VM"`
+	Apply      applyCommand      `command:"apply" description:"put an inventory in force" long-description:"Checks an inventory, shows the difference to what is in force, and puts it in force. Drains by command stay. A file without a difference makes no version."`
+	Drain      drainCommand      `command:"drain" description:"give a place no new work" long-description:"Gives a place no new work, whatever the inventory's file says, until undrain."`
+	Undrain    undrainCommand    `command:"undrain" description:"take a drain by command back" long-description:"Takes back a drain that was made by command. A drain of the inventory's file is taken out there."`
+	History    historyCommand    `command:"history" description:"list the accepted versions"`
+	Rollback   rollbackCommand   `command:"rollback" description:"put the file of a past version in force as a new version" long-description:"Puts the file of a past version in force as a new version. Drains by command stay as they are."`
+	Check      checkCommand      `command:"check" description:"check settings and inventory files"`
+	Lookup     lookupCommand     `command:"lookup" description:"ask a node which entry VMs to use"`
+	Status     statusCommand     `command:"status" description:"read the status of nodes"`
+	Load       loadCommand       `command:"load" description:"put load on nodes and measure"`
+	Experiment experimentCommand `command:"experiment" description:"measure ways of steering against each other"`
+	Standin    standinCommand    `command:"standin" description:"run stand-ins of the platform and of targets, for trials"`
+	Version    versionCommand    `command:"version" description:"print the version"`
+	Try        tryCommand        `command:"try" description:"run the whole path in one process on stand-ins"`
 }
 
 func main() {
