--- a/region/budget_test.go
+++ b/region/budget_test.go
@@ -40,6 +40,32 @@
 	})
 }
 
+func TestMovesBeforeAPauseCountAfterIt(t *testing.T) {
+	convey.Convey("Given a node that was paused for two seconds after it used its floor", t, func() {
+		move := Move{Service: "catalogue", From: "norte", To: "centro"}
+		table, now := ready(t, examples.Lumbre, "lumbre-1")
+		table.Tick(now)
+		floor := passages(table, now, move, 0)
+		woken := now.Add(2 * time.Second)
+		convey.Convey("It may use nothing until a window has passed since it woke", func() {
+			convey.So(passages(table, woken, move, 0), convey.ShouldEqual, 0)
+			table.Tick(woken)
+			convey.So(passages(table, woken.Add(400*time.Millisecond), move, 0), convey.ShouldEqual, 0)
+			table.Tick(woken.Add(500 * time.Millisecond))
+			table.Tick(woken.Add(time.Second))
+			convey.So(passages(table, woken.Add(1100*time.Millisecond), move, 0), convey.ShouldEqual, floor)
+		})
+		convey.Convey("After a pause of more than three seconds it waits like a new process", func() {
+			woken = now.Add(4 * time.Second)
+			for at := woken; at.Before(woken.Add(HoldTime)); at = at.Add(100 * time.Millisecond) {
+				table.Tick(at)
+				convey.So(passages(table, at, move, 0), convey.ShouldEqual, 0)
+			}
+			convey.So(passages(table, woken.Add(HoldTime), move, 0), convey.ShouldEqual, floor)
+		})
+	})
+}
+
 func TestFloorsSumToHalfTheCap(t *testing.T) {
 	cases := map[string]struct {
 		rate inventory.Rate
