A node that resigned and dies with work left counts as any that dies

Cause: a resignation was taken for the end of all work, though the node may still have requests at the endpoint; who took it over after a death did not wait. Only a resignation that says that nothing is held spares the wait.

--- a/endpoint/leave.go
+++ b/endpoint/leave.go
@@ -187,7 +187,7 @@
 // lost takes in that the newest incarnation of another node is gone.
 func (t *Table) lost(now time.Time, id inventory.EntryID) {
 	p := t.peers[id]
-	if t.dead[id] || p.resigned {
+	if t.dead[id] || p.clean {
 		return
 	}
 	p.died = now
--- a/endpoint/leave_test.go
+++ b/endpoint/leave_test.go
@@ -121,6 +121,12 @@
 			s.hear(10, 0, 1, true)
 			s.Dead(s.at(11), s.rank[0], s.at(10.5))
 		}, handedOver},
+		"the owner resigns and dies with work there": {func(s seat) {
+			s.hear(5, 0, 1, false, "e")
+			s.hear(5, 2, 1, false)
+			s.hear(9, 0, 1, true, "e")
+			s.Dead(s.at(10), s.rank[0], s.at(9.5))
+		}, 12 + Transit.Seconds()},
 		"the owner dies": {func(s seat) {
 			s.hear(5, 0, 1, false, "e")
 			s.hear(5, 2, 1, false)
--- a/endpoint/word.go
+++ b/endpoint/word.go
@@ -35,8 +35,9 @@
 	incarnation inventory.Incarnation
 	number      uint64    // newest of its words
 	first       uint64    // newest word of this node when it was first heard
-	resigned    bool      // it takes no more work and owns nothing
-	died        time.Time // when one that had not resigned was known to be gone
+	resigned    bool      // it takes no more work
+	clean       bool      // and has none left
+	died        time.Time // when one that was not clean was known to be gone
 }
 
 // said is what another node's word means for one endpoint. The zero value
@@ -121,7 +122,7 @@
 		if k.incarnation != 0 && !t.dead[w.From] && !newer {
 			return false
 		}
-		if !k.resigned {
+		if !k.clean {
 			k.died = now
 		}
 		k.incarnation = w.Incarnation
@@ -130,6 +131,7 @@
 	}
 	k.number = max(k.number, w.Number)
 	k.resigned = w.Resigned
+	k.clean = w.Resigned && len(w.Holds) == 0
 	t.peers[w.From] = k
 	return true
 }
