--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -29,6 +29,10 @@
 // one since the wait is an estimate, so that few are refused after they waited.
 const spare = 2
 
+// tight is the part of a mean that must be left beyond one when a wait ends,
+// since a request that has begun and runs into its deadline ends as unknown.
+const tight = 4
+
 // Slot is the right to have one request in flight at an endpoint. Who holds it
 // must give it back with Release.
 type Slot struct {
@@ -198,7 +202,7 @@
 	for id, q := range t.queues {
 		for len(q.waiting) > 0 {
 			next := q.waiting[0]
-			if now.Add(q.mean).After(next.deadline) {
+			if now.Add(q.mean + q.mean/tight).After(next.deadline) {
 				q.waiting = q.waiting[1:]
 				close(next.Ready)
 				continue
