A bad version in the store is refused once, and the next change mends it

Cause: nodes fetched a version that they had refused again at each back-off, 12 times in 10 s (seen failing first, TestBadVersionInTheStoreIsRefusedAndRepaired, "Expected 12 to be between 1 and 2"), and an operator could not publish on top of it, since its content does not open.

The immutable version is now left alone until the head changes or a watch ends. A change that asked a node builds on the node's content, under the number after the broken one.

TestWaitListsLaggards failed once in 7 runs on a busy machine, with exit code 0: the stop signal takes effect some time after it is sent, and the node answered before.

--- a/cmd/wasabiwheel/change.go
+++ b/cmd/wasabiwheel/change.go
@@ -152,8 +152,8 @@
 	next := present.Head.Version + 1
 	switch {
 	case present.Standing != configuration.StandingCurrent:
-		tell("the store's configuration is %s: it holds version %d, nodes have %s in force; the change builds on theirs and becomes version %d",
-			present.Standing, present.Store, describe(present.Head.Accepted), next)
+		tell("the store's configuration is %s: it holds version %d, nodes have version %d in force; the change builds on theirs and becomes version %d",
+			present.Standing, present.Store, present.Nodes, next)
 	case known.Head.Version == 0 && present.Head.Version > 0:
 		tell("none of %d nodes told what it has in force; the change builds on what the store holds, version %d", asked, present.Store)
 	}
--- a/cmd/wasabiwheel/change_test.go
+++ b/cmd/wasabiwheel/change_test.go
@@ -105,6 +105,11 @@
 	_, nodes := startSystem(t, "testdata/small.toml")
 	convey.Convey("A node that is paused is a laggard, and the command fails", t, func() {
 		convey.So(nodes[2].Process.Signal(syscall.SIGSTOP), convey.ShouldBeNil)
+		// The signal takes effect some time after it was sent.
+		var status syscall.WaitStatus
+		_, err := syscall.Wait4(nodes[2].Process.Pid, &status, syscall.WUNTRACED, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status.Stopped(), convey.ShouldBeTrue)
 		got := command("drain", "--platform", "http://"+processPlatform, "--node", processPlatform, "--timeout", "3s", "--wait", "endpoint", "catalogue-1")
 		convey.So(nodes[2].Process.Signal(syscall.SIGCONT), convey.ShouldBeNil)
 		convey.So(got.code, convey.ShouldEqual, exitFailed)
--- a/configuration/plan.go
+++ b/configuration/plan.go
@@ -42,7 +42,7 @@
 	StandingCurrent Standing = "current" // nodes have nothing higher
 	StandingOlder   Standing = "older"   // the store has come back with an older state
 	StandingForked  Standing = "forked"  // nodes have another version of the same number
-	StandingCorrupt Standing = "corrupt" // the store's head cannot be read
+	StandingCorrupt Standing = "corrupt" // the store's version cannot be read
 )
 
 // Present is the version that a change builds on: the highest of the store's
@@ -51,8 +51,9 @@
 	Content
 	Head     Head
 	Standing Standing
-	// Store is the version of the store's head.
-	Store inventory.Version
+	// Store is the version of the store's head, Nodes the highest that a node
+	// told of.
+	Store, Nodes inventory.Version
 
 	match  platform.Version // object version of the store's head
 	stored Bundle           // parts that the store is known to hold
@@ -64,7 +65,7 @@
 // KindCorrupt.
 func ReadPresent(ctx context.Context, store Store, known Bundle) (Present, error) {
 	head, match, err := Read(ctx, store)
-	p := Present{Store: head.Version, Standing: standingOf(head, err, known.Head), match: match}
+	p := Present{Store: head.Version, Nodes: known.Head.Version, Standing: standingOf(head, err, known.Head), match: match}
 	if p.Standing != StandingCurrent {
 		p.Head = known.Head
 		p.Content, err = known.Open()
@@ -73,15 +74,26 @@
 	if err != nil || head.Version == 0 {
 		return p, err
 	}
-	bundle, err := Fetch(ctx, StoreSource{Store: store}, head, known)
-	if err != nil {
-		return p, err
+	p.Head = head
+	p.stored, err = Fetch(ctx, StoreSource{Store: store}, head, known)
+	if err == nil {
+		p.Content, err = p.stored.Open()
+	}
+	if known.Head.Version > 0 && isBroken(err) {
+		// Nodes refuse the version too. The next one keeps what they have.
+		p.Standing, p.stored = StandingCorrupt, Bundle{}
+		p.Content, err = known.Open()
 	}
-	p.Head, p.stored = head, bundle
-	p.Content, err = bundle.Open()
 	return p, err
 }
 
+// isBroken reports whether trying again cannot help.
+func isBroken(err error) bool {
+	var e *Error
+	isBad := errors.As(err, &e) && (e.Kind == KindCorrupt || e.Kind == KindInvalid)
+	return isBad || errors.Is(err, platform.ErrMissing)
+}
+
 func standingOf(store Head, err error, nodes Head) Standing {
 	var e *Error
 	switch {
--- a/node/follow.go
+++ b/node/follow.go
@@ -87,12 +87,26 @@
 		n.noteOldHead(head, err)
 		return obj.Version, nil
 	}
-	if err := n.fetchAndApply(ctx, configuration.StoreSource{Store: n.store}, head); err != nil {
+	err = n.fetchAndApply(ctx, configuration.StoreSource{Store: n.store}, head)
+	if isBad(err) {
+		// To fetch it again would give the same.
+		klog.ErrorS(err, "store holds a configuration that is not whole or not valid", "version", head.Version)
+		n.noteWaiting(err)
+		n.bootstrap(ctx)
+		return obj.Version, nil
+	}
+	if err != nil {
 		return platform.Absent, err
 	}
 	return obj.Version, nil
 }
 
+// isBad reports whether a configuration was refused for what it is.
+func isBad(err error) bool {
+	var e *configuration.Error
+	return errors.As(err, &e) && (e.Kind == configuration.KindCorrupt || e.Kind == configuration.KindInvalid)
+}
+
 // fetchAndApply puts the version of a head in force.
 func (n *Node) fetchAndApply(ctx context.Context, from configuration.Source, head configuration.Head) error {
 	b, err := configuration.Fetch(ctx, from, head, n.config.Bundle())
@@ -140,11 +154,10 @@
 }
 
 func waitingFor(err error) Waiting {
-	var e *configuration.Error
 	switch {
 	case errors.Is(err, platform.ErrMissing):
 		return WaitingPublish
-	case errors.As(err, &e) && (e.Kind == configuration.KindCorrupt || e.Kind == configuration.KindInvalid):
+	case isBad(err):
 		return WaitingCorrupt
 	default:
 		return WaitingStore
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -14,6 +14,7 @@
 	"github.com/wasabiwheel/wasabiwheel/configuration"
 	"github.com/wasabiwheel/wasabiwheel/examples"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
@@ -169,6 +170,34 @@
 	})
 }
 
+func TestBadVersionInTheStoreIsRefusedAndRepaired(t *testing.T) {
+	bubble(t, examples.Lumbre, func(r *rig) {
+		convey.Convey("Nodes keep what they have, and the next change is in force", r.t, func() {
+			head, match, err := configuration.Read(r.t.Context(), r.store())
+			convey.So(err, convey.ShouldBeNil)
+			bad := []byte(`{"shards":null}`)
+			head.Version++
+			head.Nonce = "bad"
+			head.Index = configuration.HashOf(bad)
+			value, err := head.Encode()
+			convey.So(err, convey.ShouldBeNil)
+			_, err = r.store().Put(r.t.Context(), "shard."+string(head.Index), bad, platform.Absent)
+			convey.So(err, convey.ShouldBeNil)
+			_, err = r.store().Put(r.t.Context(), configuration.HeadName, value, match)
+			convey.So(err, convey.ShouldBeNil)
+			time.Sleep(10 * time.Second)
+			for _, n := range r.nodes {
+				convey.So(n.config.Version(), convey.ShouldEqual, 1)
+				convey.So(n.Status().Counters["configuration.refused"], convey.ShouldBeBetweenOrEqual, 1, 2)
+			}
+			a := r.publishKnowing(r.nodes["lumbre-1"], lumbreWith("three"))
+			convey.So(a.Version, convey.ShouldEqual, 3)
+			time.Sleep(inForce)
+			convey.So(r.laggards(3), convey.ShouldBeEmpty)
+		})
+	})
+}
+
 // publishKnowing publishes as an operator who asks a node first.
 func (r *rig) publishKnowing(n *rigNode, text []byte) configuration.Accepted {
 	present, err := configuration.ReadPresent(r.t.Context(), r.store(), n.config.Bundle())
