Test: a stop waits for operations whose caller has gone

A once-only operation that begins 0.1 s before its node resigns, and whose caller hangs up, is over when the node has stopped.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/wasabiwheel/wasabiwheel/booking"
 	"github.com/wasabiwheel/wasabiwheel/examples"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/lookup"
@@ -161,3 +163,27 @@
 		})
 	}
 }
+
+func TestStopFinishesOperationsWhoseCallerLeft(t *testing.T) {
+	bubble(t, examples.Lumbre, func(r *rig) {
+		convey.Convey("An operation that begins while the node leaves is over when it has stopped", r.t, func() {
+			const work = 2500 * time.Millisecond
+			r.slow(work)
+			n := r.nodes["lumbre-1"]
+			key := r.token("lumbre-1", "lumbre-1") + "~operation-1"
+			n.stop()
+			time.Sleep(leaveAfter - 100*time.Millisecond)
+			ctx, hangUp := context.WithTimeout(r.t.Context(), 50*time.Millisecond)
+			defer hangUp()
+			convey.So(r.send(ctx, "lumbre-1", http.MethodPost, "/serve/reservations/x", key, "").err, convey.ShouldNotBeNil)
+			began := time.Now()
+			<-n.done
+			delete(r.nodes, "lumbre-1")
+			convey.So(time.Since(began), convey.ShouldBeGreaterThan, work-100*time.Millisecond)
+			parsed, err := booking.ParseKey(key)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(n.bookings.Look(parsed).State, convey.ShouldEqual, booking.StateDone)
+			convey.So(r.timesRun(key), convey.ShouldEqual, 1)
+		})
+	})
+}
