Each request in flight at a signal is answered by a target again

Cause: the test of a stop by signal had come to accept 503 and 504 beside one 200, because its targets' deadline of 1 s passed on a busy machine.

--- a/cmd/wasabiwheel/leave_test.go
+++ b/cmd/wasabiwheel/leave_test.go
@@ -132,7 +132,7 @@
 func slowRequests(t *testing.T, inv *inventory.Inventory, e inventory.Entry, count int) <-chan int {
 	t.Helper()
 	for _, x := range inv.Endpoints {
-		order(t, x.Address+"/behaviour", standin.Behaviour{Work: 400 * time.Millisecond, Answer: 1 << 16})
+		order(t, x.Address+"/behaviour", standin.Behaviour{Work: 700 * time.Millisecond, Answer: 1 << 16})
 	}
 	statuses := make(chan int, count)
 	for i := range count {
@@ -158,21 +158,14 @@
 }
 
 func TestSignalCutsNoRequestInFlight(t *testing.T) {
-	inv, nodes := startSystem(t, "testdata/small.toml")
+	inv, nodes := startSystem(t, "testdata/patient.toml")
 	convey.Convey("Each request under way at the signal is answered, and the exit code is 0", t, func() {
-		const count = 3
+		const count = 6
 		statuses := slowRequests(t, inv, inv.Entries[0], count)
 		convey.So(nodes[0].Process.Signal(syscall.SIGTERM), convey.ShouldBeNil)
-		answered := 0
 		for range count {
-			// A deadline that passes in a slow moment of the machine is no cut.
-			status := <-statuses
-			convey.So(status, convey.ShouldBeIn, http.StatusOK, http.StatusServiceUnavailable, http.StatusGatewayTimeout)
-			if status == http.StatusOK {
-				answered++
-			}
+			convey.So(<-statuses, convey.ShouldEqual, http.StatusOK)
 		}
-		convey.So(answered, convey.ShouldBeGreaterThan, 0)
 		state, err := nodes[0].Process.Wait()
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(state.ExitCode(), convey.ShouldEqual, 0)
