A removed entry VM that fell silent is judged by the list of VMs too

Cause: entry VMs that were taken out of the inventory were looked for in the platform's list no more, so one that had fallen silent before kept its endpoints without an owner for good, unless its address refused a connection.

Before: TestSilentEntryVMIsDeadOnlyWhenAbsentForLong/it_is_taken_out_of_the_inventory fails (137 of 160 slots owned); after: it passes, and still nothing is taken over before the lag.

--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,31 +127,47 @@
 }
 
 func TestSilentEntryVMIsDeadOnlyWhenAbsentForLong(t *testing.T) {
-	bubble(t, examples.Lumbre, func(r *rig) {
-		convey.Convey("Its endpoints are taken over after the lag, not before", r.t, func() {
-			want := r.slots()
-			r.listVMs(nil)
-			time.Sleep(5 * time.Second)
-			const gone = "lumbre-1"
-			r.reach(gone, true)
-			n := r.nodes[gone]
-			delete(r.nodes, gone)
-			defer func() {
-				n.mayFail = true
-				n.stop()
-				n.Abort()
-				<-n.done
-				r.reach(gone, false)
-			}()
-			time.Sleep(60 * time.Second)
-			convey.So(r.slots(), convey.ShouldBeLessThan, want) // silent, and listed
-			r.listVMs(map[string]platform.State{hostOf(n.settings.Peer): ""})
-			time.Sleep(29 * time.Second)
-			convey.So(r.slots(), convey.ShouldBeLessThan, want)
-			time.Sleep(10 * time.Second)
-			convey.So(r.slots(), convey.ShouldEqual, want)
+	for name, removed := range map[string]bool{"it stays declared": false, "it is taken out of the inventory": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, examples.Lumbre, func(r *rig) {
+				convey.Convey("Its endpoints are taken over after the lag, not before", r.t, func() {
+					want := r.slots()
+					r.listVMs(nil)
+					time.Sleep(5 * time.Second)
+					const gone = "lumbre-1"
+					r.reach(gone, true)
+					n := r.nodes[gone]
+					delete(r.nodes, gone)
+					defer func() {
+						n.mayFail = true
+						n.stop()
+						n.Abort()
+						<-n.done
+						r.reach(gone, false)
+					}()
+					time.Sleep(60 * time.Second)
+					convey.So(r.slots(), convey.ShouldBeLessThan, want) // silent, and listed
+					if removed {
+						r.publish(without(examples.Lumbre, gone))
+						time.Sleep(20 * time.Second)
+						convey.So(r.slots(), convey.ShouldBeLessThan, want)
+					}
+					r.listVMs(map[string]platform.State{hostOf(n.settings.Peer): ""})
+					time.Sleep(29 * time.Second)
+					convey.So(r.slots(), convey.ShouldBeLessThan, want)
+					time.Sleep(10 * time.Second)
+					convey.So(r.slots(), convey.ShouldEqual, want)
+				})
+			})
 		})
-	})
+	}
+}
+
+// without takes the table of an entry VM out of an inventory's text.
+func without(text []byte, id string) []byte {
+	before, rest, _ := bytes.Cut(text, []byte("[[entry]]\nid = \""+id+"\""))
+	_, after, _ := bytes.Cut(rest, []byte("\n\n"))
+	return slices.Concat(before, after)
 }
 
 func TestEntryVMListedAsLeavingLeavesTheLookUps(t *testing.T) {
--- a/node/vms.go
+++ b/node/vms.go
@@ -119,17 +119,25 @@
 	n.endpoints.Leaving(time.Now(), endpoint.SourceList, leaving)
 }
 
-// judgeEntries looks for entry VMs that are proved to be gone.
+// judgeEntries looks for entry VMs that are proved to be gone, those that were
+// removed from the inventory lately among them: endpoints may wait for them.
 func (n *Node) judgeEntries(inv *inventory.Inventory) {
 	for _, e := range inv.Entries {
-		m, _ := n.members.Get(e.ID)
-		if e.ID == n.settings.ID || m.Dead {
-			continue
-		}
-		if since, gone := n.vms.Gone(hostOnly(e.Peer), m.Last); gone {
-			n.counters.add("member.gone")
-			n.dead(e.ID, since)
-		}
+		n.judgeEntry(e.ID, e.Peer)
+	}
+	for _, f := range n.config.Former() {
+		n.judgeEntry(f.ID, f.Peer)
+	}
+}
+
+func (n *Node) judgeEntry(id inventory.EntryID, peer string) {
+	m, _ := n.members.Get(id)
+	if id == n.settings.ID || m.Dead {
+		return
+	}
+	if since, gone := n.vms.Gone(hostOnly(peer), m.Last); gone {
+		n.counters.add("member.gone")
+		n.dead(id, since)
 	}
 }
 
