Announcements of endpoints, by their usual name

Cause: 'word' stood for what nodes tell each other about endpoints, which a newcomer has to be told. It is an announcement, as in routing. Nothing else changes.

--- a/endpoint/word.go
+++ b/endpoint/announcement.go
@@ -17,11 +17,11 @@
 // addresses of the entry VMs.
 type Plan uint64
 
-// Word is what one node tells another about its endpoints.
-type Word struct {
+// Announcement is what one node tells another about its endpoints.
+type Announcement struct {
 	From        inventory.EntryID
 	Incarnation inventory.Incarnation
-	Number      uint64                // grows with each word of the incarnation
+	Number      uint64                // grows with each announcement of the incarnation
 	Heard       inventory.Incarnation // of the receiver, as last heard of; 0: never
 	Echo        uint64                // newest number that was heard of it
 	Plans       []Plan                // in force at the sender
@@ -33,15 +33,15 @@
 // peer is what is known of another node's newest incarnation.
 type peer struct {
 	incarnation inventory.Incarnation
-	number      uint64    // newest of its words
-	first       uint64    // newest word of this node when it was first heard
+	number      uint64    // newest of its announcements
+	first       uint64    // newest announcement of this node when it was first heard
 	resigned    bool      // it takes no more work
 	clean       bool      // and has none left
 	died        time.Time // when one that was not clean was known to be gone
 }
 
-// said is what another node's word means for one endpoint. The zero value
-// stands for no word under the plan in force.
+// said is what another node's announcement means for one endpoint. The zero value
+// stands for no announcement under the plan in force.
 type said int
 
 const (
@@ -50,14 +50,14 @@
 	saidFree
 )
 
-// Word returns what to tell another node now. It is composed in one step, so
+// Announcement returns what to tell another node now. It is composed in one step, so
 // that it never says "not held" of what is held when it says "heard".
-func (t *Table) Word(to inventory.EntryID) Word {
+func (t *Table) Announcement(to inventory.EntryID) Announcement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.number++
 	k := t.peers[to]
-	w := Word{From: t.self, Incarnation: t.incarnation, Number: t.number, Heard: k.incarnation, Echo: k.number, Plans: t.plans, Holds: t.held(), Resigned: t.resigned}
+	w := Announcement{From: t.self, Incarnation: t.incarnation, Number: t.number, Heard: k.incarnation, Echo: k.number, Plans: t.plans, Holds: t.held(), Resigned: t.resigned}
 	for _, p := range t.points {
 		if t.wants(p) {
 			w.Wants = append(w.Wants, p.ID)
@@ -112,10 +112,10 @@
 	return ids
 }
 
-// introduce notes whose word this is. It reports false for a word of another
+// introduce notes whose announcement this is. It reports false for an announcement of another
 // incarnation than the known one that may be older: one that has not heard what
 // this node said since the known one spoke first.
-func (t *Table) introduce(now time.Time, w Word) bool {
+func (t *Table) introduce(now time.Time, w Announcement) bool {
 	k := t.peers[w.From]
 	if k.incarnation != w.Incarnation {
 		newer := w.Heard == t.incarnation && w.Echo > k.first
@@ -136,10 +136,10 @@
 	return true
 }
 
-// hear takes in what a word says about one endpoint. It counts only if its
+// hear takes in what an announcement says about one endpoint. It counts only if its
 // sender had heard that this incarnation has the plan in force, and has the
 // same plan itself.
-func (t *Table) hear(p *point, w Word) {
+func (t *Table) hear(p *point, w Announcement) {
 	samePlan := slices.Contains(w.Plans, p.plan)
 	switch {
 	case !samePlan || w.Heard != t.incarnation || w.Echo <= p.since:
--- a/endpoint/leave.go
+++ b/endpoint/leave.go
@@ -16,7 +16,7 @@
 // The sources beside other nodes, whose source is their entry VM's id.
 const (
 	SourceList   Source = "list"   // the platform's list of VMs
-	SourceSignal Source = "signal" // the endpoint's own word
+	SourceSignal Source = "signal" // the endpoint's own announcement
 )
 
 // Timing of pauses.
--- a/endpoint/leave_test.go
+++ b/endpoint/leave_test.go
@@ -81,9 +81,9 @@
 // hear takes in a heartbeat of the candidate with the given rank.
 func (s seat) hear(seconds float64, rank int, i inventory.Incarnation, resigned bool, holds ...inventory.EndpointID) {
 	// A new incarnation is known by what it has heard.
-	s.Word(s.rank[rank])
-	w := s.Word(s.rank[rank])
-	s.Heard(s.at(seconds), Word{From: s.rank[rank], Incarnation: i, Number: w.Number, Heard: 7, Echo: w.Number, Plans: w.Plans, Holds: holds, Resigned: resigned})
+	s.Announcement(s.rank[rank])
+	w := s.Announcement(s.rank[rank])
+	s.Heard(s.at(seconds), Announcement{From: s.rank[rank], Incarnation: i, Number: w.Number, Heard: 7, Echo: w.Number, Plans: w.Plans, Holds: holds, Resigned: resigned})
 }
 
 func (s seat) slots(seconds float64) int {
--- a/endpoint/ownership_test.go
+++ b/endpoint/ownership_test.go
@@ -1,6 +1,6 @@
 package endpoint
 
-// A model of several nodes whose words are delayed, lost and reordered between
+// A model of several nodes whose announcements are delayed, lost and reordered between
 // connections, and which die, restart, freeze (no events for a while) and get
 // configurations at different times.
 
@@ -97,11 +97,11 @@
 	alive   bool
 }
 
-// letter is a word under way on one of two connections.
+// letter is an announcement under way on one of two connections.
 type letter struct {
-	from, to *process
-	line     int
-	word     Word
+	from, to     *process
+	line         int
+	announcement Announcement
 }
 
 // call is an attempt to connect.
@@ -192,15 +192,15 @@
 
 func (w *world) resign(rt *rapid.T) { w.pick(rt, "process").Resign(w.now) }
 
-// talk exchanges words at once, on a connection of its own.
+// talk exchanges announcements at once, on a connection of its own.
 func (w *world) talk(rt *rapid.T) {
 	p, q := w.pick(rt, "one"), w.pick(rt, "other")
 	if p == q {
 		rt.Skip("the same")
 	}
 	for range 3 {
-		q.Heard(w.now, p.Word(q.self))
-		p.Heard(w.now, q.Word(p.self))
+		q.Heard(w.now, p.Announcement(q.self))
+		p.Heard(w.now, q.Announcement(p.self))
 	}
 }
 
@@ -210,10 +210,10 @@
 		rt.Skip("the same")
 	}
 	line := rapid.IntRange(0, 1).Draw(rt, "line")
-	w.letters = append(w.letters, letter{from: p, to: q, line: line, word: p.Word(q.self)})
+	w.letters = append(w.letters, letter{from: p, to: q, line: line, announcement: p.Announcement(q.self)})
 }
 
-// deliver hands over a word that is the oldest on its connection, or loses it.
+// deliver hands over an announcement that is the oldest on its connection, or loses it.
 func (w *world) deliver(rt *rapid.T) {
 	if len(w.letters) == 0 {
 		rt.Skip("nothing is under way")
@@ -224,7 +224,7 @@
 	l = w.letters[i]
 	w.letters = slices.Delete(w.letters, i, i+1)
 	if l.to.alive && rapid.IntRange(0, 9).Draw(rt, "lost") > 0 {
-		l.to.Heard(w.now, l.word)
+		l.to.Heard(w.now, l.announcement)
 	}
 }
 
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -19,26 +19,28 @@
 //
 // # Why there are never two owners
 //
-// A word counts only if its sender had heard that the receiver's present
-// incarnation has its present plan (ranks and addresses), and has that plan
-// itself. Death counts only if it was observed after the last word: a process
-// listens on its peer address before it hears or says anything, until it can
-// send no work any more, so a refused connection means that the process that
-// spoke last is gone. Then of any two live processes:
+// An announcement counts only if its sender had heard that the receiver's
+// present incarnation has its present plan (ranks and addresses), and has that
+// plan itself. Death counts only if it was observed after the last
+// announcement: a process listens on its peer address before it hears or says
+// anything, until it can send no work any more, so a refused connection means
+// that the process that spoke last is gone. Then of any two live processes:
 //
 //   - Under one plan, let X rank before Y. Y takes only when X's entry VM is
-//     dead, so before X began. X takes only on Y's word, which is given after Y
-//     heard X; from then on Y does not believe X dead, and until it let go it
-//     says that it holds. If instead Y was dead, Y began after X, and sees it
-//     alive. It does not matter how long any message was under way, or whose
+//     dead, so before X began. X takes only on Y's announcement, which is given
+//     after Y heard X; from then on Y does not believe X dead, and until it let
+//     go it says that it holds. If instead Y was dead, Y began after X, and sees
+//     it alive. It does not matter how long any message was under way, or whose
 //     incarnation was heard in between. A resignation counts like a death, but
-//     only in a word of the newest incarnation: one that had not spoken before
-//     is taken for newer when it has heard what was said to the one before.
-//   - Under two plans, each has put the other's entry VM among those whose word
-//     it needs, and needs the word of a later plan after its own last change.
-//     What the other took before that word, the word says; what it takes after
-//     it needs a word in return. Entry VMs that a new plan leaves out stay
-//     among those whose word is needed (Awaited) until they are dead.
+//     only in an announcement of the newest incarnation: one that had not spoken
+//     before is taken for newer when it has heard what was said to the one
+//     before.
+//   - Under two plans, each has put the other's entry VM among those whose
+//     announcement it needs, and needs the announcement of a later plan after
+//     its own last change. What the other took before that announcement, the
+//     announcement says; what it takes after it needs an announcement in return.
+//     Entry VMs that a new plan leaves out stay among those whose announcement
+//     is needed (Awaited) until they are dead.
 //
 // This relies on three things. A process starts with the newest plan of those
 // that are in force in its region. An entry VM leaves the inventory after its
@@ -55,7 +57,7 @@
 //
 //	t := endpoint.New("mx-1", incarnation)
 //	t.SetInventory(now, inv)
-//	t.Heard(now, word)         // from a heartbeat; answer with t.Word(word.From)
+//	t.Heard(now, a)            // from a heartbeat; answer with t.Announcement(a.From)
 //	t.Dead(now, "mx-3", since) // its address refused a connection
 //	v := t.Admit(now, "catalogue", deadline)
 package endpoint
@@ -78,7 +80,7 @@
 	inventory.Endpoint
 	rank    []inventory.EntryID
 	plan    Plan
-	since   uint64                     // newest word of this node before the plan
+	since   uint64                     // newest announcement of this node before the plan
 	said    map[inventory.EntryID]said // by others since then
 	owned   bool
 	changed time.Time // when it was declared or its candidates changed
@@ -103,7 +105,7 @@
 	mu     sync.Mutex
 	inv    *inventory.Inventory
 	plans  []Plan
-	number uint64            // of the newest word
+	number uint64            // of the newest announcement
 	points map[string]*point // by address
 	dead   map[inventory.EntryID]bool
 	heard  map[inventory.EntryID]time.Time // newest message
@@ -213,9 +215,9 @@
 	}
 }
 
-// Heard takes in what another node says, unless it is the late word of an
+// Heard takes in what another node says, unless it is the late announcement of an
 // incarnation that was replaced.
-func (t *Table) Heard(now time.Time, w Word) {
+func (t *Table) Heard(now time.Time, w Announcement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.introduce(now, w) {
@@ -247,7 +249,7 @@
 	t.assess(now)
 }
 
-// Awaited lists the entry VMs without whose word or death this node does not
+// Awaited lists the entry VMs without whose announcement or death this node does not
 // take some endpoint, those that are declared no more among them.
 func (t *Table) Awaited() []inventory.EntryID {
 	t.mu.Lock()
--- a/member/message.go
+++ b/member/message.go
@@ -37,7 +37,7 @@
 	Targets []inventory.EndpointID `cbor:"11,keyasint,omitempty"`
 	// Heard is the receiver's incarnation as the sender knows it, 0 if unknown.
 	Heard inventory.Incarnation `cbor:"12,keyasint,omitempty"`
-	// The rest of the sender's word on endpoints, see package endpoint.
+	// The rest of the sender's announcement of endpoints, see package endpoint.
 	Number uint64                 `cbor:"13,keyasint,omitempty"`
 	Echo   uint64                 `cbor:"14,keyasint,omitempty"`
 	Plans  []uint64               `cbor:"15,keyasint,omitempty"`
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -45,11 +45,11 @@
 	convey.Convey("Given a member", t, func() {
 		table, now := New("a"), time.Now()
 		table.Heard(now, beat(7, 1))
-		convey.Convey("evidence from before the last word is not taken", func() {
+		convey.Convey("evidence from before the last announcement is not taken", func() {
 			convey.So(table.Dead("b", now.Add(-time.Second)), convey.ShouldBeFalse)
 			convey.So(table.Live(now), convey.ShouldHaveLength, 1)
 		})
-		convey.Convey("newer evidence takes it out at once, a new word brings it back", func() {
+		convey.Convey("newer evidence takes it out at once, a new announcement brings it back", func() {
 			convey.So(table.Dead("b", now.Add(time.Second)), convey.ShouldBeTrue)
 			convey.So(table.Live(now), convey.ShouldBeEmpty)
 			convey.So(table.Heard(now.Add(2*time.Second), beat(8, 1)), convey.ShouldBeTrue)
--- a/node/word.go
+++ b/node/announcement.go
@@ -1,14 +1,14 @@
 package node
 
-// The word on endpoints, as it travels in heartbeats.
+// The announcement of endpoints, as it travels in heartbeats.
 
 import (
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/member"
 )
 
-// putWord writes a word into a heartbeat.
-func putWord(h *member.Heartbeat, w endpoint.Word) {
+// putAnnouncement writes an announcement into a heartbeat.
+func putAnnouncement(h *member.Heartbeat, w endpoint.Announcement) {
 	h.Heard = w.Heard
 	h.Number = w.Number
 	h.Echo = w.Echo
@@ -20,9 +20,9 @@
 	}
 }
 
-// wordOf reads the word from a heartbeat.
-func wordOf(h member.Heartbeat) endpoint.Word {
-	w := endpoint.Word{
+// announcementOf reads the announcement from a heartbeat.
+func announcementOf(h member.Heartbeat) endpoint.Announcement {
+	w := endpoint.Announcement{
 		From:        h.Entry,
 		Incarnation: h.Incarnation,
 		Number:      h.Number,
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -186,7 +186,7 @@
 		Version:     n.config.Version(),
 		Targets:     n.endpoints.Claims(),
 	}
-	putWord(&h, n.endpoints.Word(to))
+	putAnnouncement(&h, n.endpoints.Announcement(to))
 	for _, l := range n.endpoints.Loads(now) {
 		h.Loads = append(h.Loads, member.Load(l))
 	}
@@ -201,7 +201,7 @@
 		return
 	}
 	n.endpoints.Leaving(now, endpoint.Source(h.Entry), h.Targets)
-	n.endpoints.Heard(now, wordOf(h))
+	n.endpoints.Heard(now, announcementOf(h))
 	if h.Version > n.config.Version() {
 		n.wakeFollower(h.Entry)
 	}
