The answer to a request that was under way when a node began to leave ends its connection

Cause: whether the connection is closed behind an answer was decided when its request arrived. Requests that were under way at the signal left their connections open, until the node closed them as idle two fifths of the grace later, when a new request may just be on its way.

Test: TestAnAnswerGivenWhileLeaving, failed before.

--- a/node/front.go
+++ b/node/front.go
@@ -25,11 +25,8 @@
 	n.work.Add(1)
 	defer n.work.Add(-1)
 	now := time.Now()
-	if n.state() != StateServing {
-		w.Header().Set("Connection", "close")
-	}
 	q, a := n.handle(w, r, now)
-	if q != nil && q.upload.stopped.Load() {
+	if n.state() != StateServing || q != nil && q.upload.stopped.Load() { // as it is now: it may have begun to leave
 		w.Header().Set("Connection", "close")
 	}
 	n.reply(w, a)
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -286,6 +286,26 @@
 	}
 }
 
+// TestAnAnswerGivenWhileLeaving has requests under way when the node is told to stop.
+// A connection that stayed open with their answers would end later with the next
+// request on it.
+func TestAnAnswerGivenWhileLeaving(t *testing.T) {
+	bubble(t, func(r *rig) {
+		convey.Convey("It ends its connection", t, func() {
+			r.behave(standin.Behaviour{Work: time.Second})
+			var p reply
+			var wait sync.WaitGroup
+			wait.Go(func() { p = r.send(r.t.Context(), "n1", ask{}) })
+			time.Sleep(100 * time.Millisecond)
+			r.nodes["n1"].stop()
+			wait.Wait()
+			convey.So(p.status, convey.ShouldEqual, http.StatusOK)
+			convey.So(p.closed, convey.ShouldBeTrue)
+			<-r.nodes["n1"].done
+		})
+	})
+}
+
 // TestNotRunIsSaidOfNoRequestThatRan has one endpoint after the other lose its
 // answers while all others refuse, so that a request may run and then be refused.
 func TestNotRunIsSaidOfNoRequestThatRan(t *testing.T) {
