A node that starts while the store is away asks others for what they know

Cause: a node knows nothing when it starts, and only the store could tell it. In a rolling stop during an outage of 12 s each node that was replaced stayed out until its end.

Change: the settings name seeds (on the platform its control addresses). A node that has not reached the store for 0.6 s since its start and lacks a collection follows them, as it follows a feed. Many endpoints that change at once share log lines, since a line each pushed out the steps of the start; each now has its own revision there.

Ruled out: asking at once, with one reader for each failure domain at a start.

--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -12,7 +12,8 @@
 //
 // The store may also turn away some processes and answer others. One that does not
 // reach it is therefore told by any other that does, in its own domain if there is
-// one, and tries on meanwhile.
+// one, and tries on meanwhile. One that starts then knows of no others, and asks those
+// that its settings name.
 
 import (
 	"cmp"
@@ -37,6 +38,7 @@
 	holdTime   = 5 * time.Second        // for which a process that was behind reads for itself
 	heardTime  = time.Second            // for which a heartbeat counts: two of them
 	awayTime   = 300 * time.Millisecond // without the store after which another process is asked: one failed read
+	startTime  = feedSilent             // the same for one that starts: where all do, none can tell another
 )
 
 // Peer is another process of the own failure domain or near to it.
@@ -185,9 +187,10 @@
 
 // Plan says what a process does now.
 type Plan struct {
-	Feed  inventory.EntryID // who is to tell it; "": nobody
-	Reads bool              // it reads the store itself
-	Doubt bool              // it has missed something and asks all again
+	Feed   inventory.EntryID // who is to tell it; "": nobody
+	Reads  bool              // it reads the store itself
+	Starts bool              // it lacks something and does not reach the store: it asks whomever it can
+	Doubt  bool              // it has missed something and asks all again
 }
 
 // Plan decides, given how far the process is itself, and whether it reaches the
@@ -205,6 +208,7 @@
 	r.feed = p.Feed // a helper isn't: it may be told by this process's own
 	if p.Reads && !reaches {
 		p.Feed = r.help(now)
+		p.Starts = now.Sub(r.away) >= startTime && !isWhole(own)
 	} else {
 		r.away, r.helper = time.Time{}, ""
 	}
@@ -218,6 +222,11 @@
 	return p
 }
 
+// isWhole reports whether all collections are known, however old.
+func isWhole(positions []Position) bool {
+	return !slices.ContainsFunc(positions, func(p Position) bool { return p.At == 0 })
+}
+
 // help returns a process that reaches the store, once this one has not for a while;
 // "" if none is heard. One that helped goes on, so that feeds don't change for nothing.
 func (r *Relay) help(now time.Time) inventory.EntryID {
--- a/node/follow.go
+++ b/node/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -109,17 +110,15 @@
 
 // Changed takes over what has changed in a collection.
 func (n *Node) Changed(kind platform.Collection, events []platform.Event) {
-	for _, e := range events {
-		switch {
-		case kind == platform.Configurations && !e.Gone:
-			n.configure(e.Object)
-		case kind == platform.Endpoints && e.Gone:
-			n.removeEndpoint(inventory.EndpointID(e.Object.Name))
-		case kind == platform.Endpoints:
-			n.register(e.Object)
-		}
-	}
 	switch kind {
+	case platform.Configurations:
+		for _, e := range events {
+			if !e.Gone {
+				n.configure(e.Object)
+			}
+		}
+	case platform.Endpoints:
+		n.takeEndpoints(events)
 	case platform.Drains:
 		n.drain(events)
 	case platform.Entries:
@@ -127,6 +126,55 @@
 	}
 }
 
+const (
+	// fewEndpoints is how many endpoints that change together get a line each. More come
+	// when a node starts, and a line each would push out those that tell of its start.
+	fewEndpoints = 20
+	perLine      = 50 // endpoints that share a line then: some 4 KB
+)
+
+// registration is what an endpoint says of itself, at a revision of the store.
+type registration struct {
+	inventory.Endpoint
+	revision platform.Revision
+}
+
+// String describes it for the log.
+func (r registration) String() string {
+	return fmt.Sprintf("%s %s %s %s slots %d draining %t cold %s revision %d", r.ID, r.Service, r.Domain, r.Address, r.Slots, r.Draining, r.Cold, r.revision)
+}
+
+// takeEndpoints takes over what endpoints say of themselves.
+func (n *Node) takeEndpoints(events []platform.Event) {
+	var changed []registration
+	for _, e := range events {
+		if e.Gone {
+			n.removeEndpoint(inventory.EndpointID(e.Object.Name))
+			continue
+		}
+		if taken, ok := n.register(e.Object); ok {
+			changed = append(changed, registration{Endpoint: taken, revision: e.Object.Revision})
+		}
+	}
+	logEndpoints(changed)
+}
+
+func logEndpoints(changed []registration) {
+	if len(changed) <= fewEndpoints {
+		for _, e := range changed {
+			klog.InfoS("endpoint", "endpoint", e.ID, "service", e.Service, "domain", e.Domain, "address", e.Address, "slots", e.Slots, "draining", e.Draining, "cold", e.Cold, "revision", e.revision)
+		}
+		return
+	}
+	for some := range slices.Chunk(changed, perLine) {
+		var lines []string
+		for _, e := range some {
+			lines = append(lines, e.String())
+		}
+		klog.InfoS("endpoints", "count", len(changed), "endpoints", lines)
+	}
+}
+
 // Complete lets the node serve once it knows all that it needs.
 func (n *Node) Complete(kind platform.Collection) {
 	n.belief.mu.Lock()
@@ -173,22 +221,21 @@
 	n.mayServe()
 }
 
-// register takes over an endpoint's entry. One that cannot be read names no
-// endpoint to use.
-func (n *Node) register(o platform.Object) {
+// register takes over an endpoint's entry, and reports whether that changes what is
+// believed of it. An entry that cannot be read names no endpoint to use.
+func (n *Node) register(o platform.Object) (e inventory.Endpoint, changed bool) {
 	e, err := platform.ReadEndpoint(o)
 	if err != nil {
 		n.counters.add("endpoint.malformed")
 		klog.InfoS("endpoint ignored", "endpoint", o.Name, "cause", err)
 		n.removeEndpoint(inventory.EndpointID(o.Name))
-		return
-	}
-	if n.endpoints.Register(time.Now(), e) {
-		klog.InfoS("endpoint", "endpoint", e.ID, "service", e.Service, "domain", e.Domain, "address", e.Address, "slots", e.Slots, "draining", e.Draining, "cold", e.Cold, "revision", o.Revision)
+		return e, false
 	}
+	changed = n.endpoints.Register(time.Now(), e)
 	if e.Draining {
 		n.pool.Forget(e.ID, e.Address)
 	}
+	return e, changed
 }
 
 func (n *Node) removeEndpoint(id inventory.EndpointID) {
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 	"k8s.io/klog/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
 // sink is a writer that may block.
@@ -68,3 +70,38 @@
 		})
 	})
 }
+
+// TestTheStartOfANodeIsLogged has as many endpoints as would fill a burst of lines.
+func TestTheStartOfANodeIsLogged(t *testing.T) {
+	const nodes = 2 * logBurst / perNode
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("No endpoint and no step is left out", t, func() {
+			out := &sink{block: make(chan struct{})}
+			close(out.block)
+			done, written := make(chan struct{}), make(chan struct{})
+			file := sizedText(nodes)
+			r := emptyRig(t, file)
+			defer r.close()
+			for _, e := range r.inv.Endpoints {
+				convey.So(standin.NewRegistrar(r.register, e).Write(t.Context()), convey.ShouldBeNil)
+			}
+			r.publish(file)
+			log := NewLog(out)
+			defer klog.ClearLogger()
+			go func() {
+				defer close(written)
+				log.Run(done)
+			}()
+			r.start("n0")
+			time.Sleep(2 * time.Second)
+			close(done)
+			<-written
+			text := strings.Join(out.lines(), "\n")
+			convey.So(text, convey.ShouldNotContainSubstring, "left out")
+			convey.So(text, convey.ShouldContainSubstring, `"msg":"serving"`)
+			for _, e := range r.inv.Endpoints {
+				convey.So(strings.Contains(text, string(e.ID)+" s "), convey.ShouldBeTrue)
+			}
+		})
+	})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -132,12 +132,16 @@
 	return cbor.Unmarshal(data, out)
 }
 
-// following is a node to be followed, and whether as a feed.
+// following is a node to be followed, and whether as a feed. Of a seed nothing is known
+// but its address.
 type following struct {
 	entry member.Entry
 	feed  bool
 }
 
+// isSeed reports whether the node is known by the settings only.
+func (f following) isSeed() bool { return f.entry.ID == "" }
+
 // followPeers follows the present neighbours, and has the store read by this node
 // or its feed.
 func (n *Node) followPeers(ctx context.Context) {
@@ -177,14 +181,17 @@
 	if plan.Feed != "" {
 		n.setReached(true, "by", plan.Feed)
 	}
-	if plan.Feed != last.Feed || plan.Reads != last.Reads {
-		klog.InfoS("store", "reads", plan.Reads, "feed", plan.Feed)
+	if plan.Feed != last.Feed || plan.Reads != last.Reads || plan.Starts != last.Starts {
+		klog.InfoS("store", "reads", plan.Reads, "feed", plan.Feed, "starts", plan.Starts)
 	}
 }
 
 // wanted returns the nodes to follow.
 func (n *Node) wanted(plan discovery.Plan) []following {
 	var all []following
+	if plan.Starts {
+		all = n.seeds()
+	}
 	candidates := n.relay.Candidates()
 	neighbours := n.members.Neighbours()
 	if plan.Reads && !n.follower.IsReading() {
@@ -199,13 +206,25 @@
 	return all
 }
 
+// seeds returns the nodes that the settings name, but this one.
+func (n *Node) seeds() []following {
+	var all []following
+	own := n.settings.Load()
+	for _, s := range own.Seeds {
+		if s != own.Announce {
+			all = append(all, following{entry: member.Entry{Peer: s}, feed: true})
+		}
+	}
+	return all
+}
+
 // followPeer hears one node until ctx ends.
 func (n *Node) followPeer(ctx context.Context, f following) {
 	dialer := exchange.Bounded{Dialer: n.network, Limit: beatDial}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
 	for ctx.Err() == nil {
 		err := n.hear(ctx, client, f)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !f.isSeed() {
 			n.lostPeer(f.entry.ID)
 		}
 		sleep(ctx, beatRetry)
@@ -242,7 +261,7 @@
 		if err := receive(ctx, c, member.SilentAfter, &m); err != nil {
 			return err
 		}
-		if m.Beat.Entry == f.entry.ID {
+		if m.Beat.Entry == f.entry.ID || f.isSeed() {
 			n.takeNews(m)
 		}
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -23,6 +23,9 @@
 	// Announce is the address for other nodes as these reach it; "": Peer.
 	Announce string `toml:"announce"`
 	Admin    string `toml:"admin"` // address for operators: status and metrics
+	// Seeds are addresses of nodes, as Announce, which a node asks for what they know if
+	// it starts while the store is away. They may be gone, and it may be one of them.
+	Seeds []string `toml:"seeds"`
 	// Platform is the address of the platform's store, host:port.
 	Platform string `toml:"platform"`
 	// Front names the protocol with callers and endpoints: "own" or "platform".
@@ -144,6 +147,7 @@
 		Peer:     e.Peer,
 		Announce: e.Peer,
 		Admin:    e.Admin,
+		Seeds:    seedsOf(inv),
 		Platform: platform,
 		Front:    FrontOwn,
 		Domains:  inv.Domains,
@@ -152,6 +156,17 @@
 	}
 }
 
+const mostSeeds = 3 // so that one lives
+
+// seedsOf returns the addresses of the first entry VMs of an inventory.
+func seedsOf(inv *inventory.Inventory) []string {
+	var seeds []string
+	for _, e := range inv.Entries[:min(mostSeeds, len(inv.Entries))] {
+		seeds = append(seeds, e.Peer)
+	}
+	return seeds
+}
+
 // check returns the first fault with the key that it stands on.
 func (s Settings) check() (key string, err error) {
 	if !inventory.ValidID(string(s.ID)) {
@@ -165,6 +180,11 @@
 			return a.key, err
 		}
 	}
+	for _, seed := range s.Seeds {
+		if err := inventory.CheckAddress(seed); err != nil {
+			return "seeds", err
+		}
+	}
 	if s.Front != FrontOwn && s.Front != FrontPlatform {
 		return "front", errors.Newf("%q is neither %q nor %q", s.Front, FrontOwn, FrontPlatform)
 	}
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -17,6 +17,7 @@
 lookup = "127.20.1.1:7003"
 peer = "127.20.1.1:7001"
 admin = "127.20.1.1:7002"
+seeds = ["127.20.1.2:7001"]
 platform = "127.20.0.1:9000"
 [[domains]]
 id = "norte-a"
@@ -37,6 +38,7 @@
 		"empty id":         {"\"lumbre-1\"", "\"\"", "id", "id \"\" is empty"},
 		"unknown domain":   {"domain = \"norte-a\"", "domain = \"este\"", "domain", "failure domain \"este\""},
 		"host name":        {"127.20.1.1:7000", "host:7000", "caller", "\"host:7000\" is not"},
+		"seed by name":     {"127.20.1.2:7001", "host:7001", "seeds", "\"host:7001\" is not"},
 		"no lookup":        {"127.20.1.1:7003", "", "lookup", "\"\" is not"},
 		"big port":         {"7001", "70001", "peer", "\"127.20.1.1:70001\" is not"},
 		"a URL":            {"127.20.0.1:9000", "http://x", "platform", "\"http://x\" is not"},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -311,6 +311,9 @@
 	for i, e := range w.inv.Entries {
 		s := node.SettingsOf(w.inv, e, w.address(hostStore, i, portAdmin))
 		s.Announce = w.address(hostPeer, i, portPeer)
+		for k := range s.Seeds {
+			s.Seeds[k] = w.address(hostPeer, k, portPeer)
+		}
 		p := &process{index: i, file: filepath.Join(w.dir, string(e.ID)+".toml"), evidence: w.evidence, settings: s}
 		var err error
 		for _, l := range []struct {
