Log lines are written in pieces that pipes and collectors keep whole

Cause: lines that wait for a flush went out in one write. Many endpoints at once made it likely.

Change: a write has 4 KB at most, or one line; a line of endpoints has 30 of them.

--- a/node/follow.go
+++ b/node/follow.go
@@ -130,7 +130,7 @@
 	// fewEndpoints is how many endpoints that change together get a line each. More come
 	// when a node starts, and a line each would push out those that tell of its start.
 	fewEndpoints = 20
-	perLine      = 50 // endpoints that share a line then: some 4 KB
+	perLine      = 30 // endpoints that share a line then: some 3 KB, less than a write of the log
 )
 
 // registration is what an endpoint says of itself, at a revision of the store.
--- a/node/log.go
+++ b/node/log.go
@@ -21,6 +21,7 @@
 	logQueue  = 1024            // lines that wait to be written
 	logReport = 1 * time.Second // between counts of what was left out
 	logFlush  = 200 * time.Millisecond
+	logWrite  = 4096 // bytes of a write, unless a line is longer: what a pipe takes whole, and collectors keep
 )
 
 // Log writes lines in the background.
@@ -81,11 +82,19 @@
 	if len(lines) == 0 {
 		return
 	}
-	var all []byte
+	var some []byte
 	for _, line := range lines {
-		all = append(all, line...)
+		if len(some) > 0 && len(some)+len(line) > logWrite {
+			l.write(some)
+			some = some[:0]
+		}
+		some = append(some, line...)
 	}
-	_, _ = l.out.Write(all) // there is nowhere to report a log that cannot be written
+	l.write(some)
+}
+
+func (l *Log) write(lines []byte) {
+	_, _ = l.out.Write(lines) // there is nowhere to report a log that cannot be written
 }
 
 // report says how many lines were left out.
