A node that starts reads until it knows all

Cause: a node stopped reading as soon as it heard one that it would follow, which may have started at the same time and know no more. It then waited for that one, whose link carries the lists for 16 others.

Test: TestWhoStartsReads (plan of a process that knows nothing; "it reaches the store" and the first two cases failed before). The test of what control costs tells the cost of a start, too.

--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -12,8 +12,11 @@
 //
 // The store may also turn away some processes and answer others. One that does not
 // reach it is therefore told by any other that does, in its own domain if there is
-// one, and tries on meanwhile. One that starts then knows of no others, and asks those
-// that its settings name.
+// one, and tries on meanwhile.
+//
+// A process that starts reads until it knows all: those that it would follow may be
+// starting, too. If it doesn't reach the store it knows of no others, and asks those that
+// its settings name.
 
 import (
 	"cmp"
@@ -199,17 +202,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := Plan{Reads: true}
-	for _, id := range r.candidates() {
-		if t, ok := r.told[id]; ok && t.hops.feeds() && now.Sub(t.at) <= feedSilent {
-			p = Plan{Feed: id}
-			break
-		}
+	whole := isWhole(own)
+	if whole || r.isAway(now, startTime) {
+		p = r.follow(now)
 	}
 	r.feed = p.Feed // a helper isn't: it may be told by this process's own
-	if p.Reads && !reaches {
+	switch {
+	case p.Reads && !reaches:
 		p.Feed = r.help(now)
-		p.Starts = now.Sub(r.away) >= startTime && !isWhole(own)
-	} else {
+		p.Starts = !whole && r.isAway(now, startTime)
+	case reaches || whole:
 		r.away, r.helper = time.Time{}, ""
 	}
 	if r.stays(now, own) {
@@ -222,6 +224,22 @@
 	return p
 }
 
+// follow returns the plan of a process that may rely on another one, if it hears one
+// that it may follow.
+func (r *Relay) follow(now time.Time) Plan {
+	for _, id := range r.candidates() {
+		if t, ok := r.told[id]; ok && t.hops.feeds() && now.Sub(t.at) <= feedSilent {
+			return Plan{Feed: id}
+		}
+	}
+	return Plan{Reads: true}
+}
+
+// isAway reports whether this process has read without reaching the store for so long.
+func (r *Relay) isAway(now time.Time, d time.Duration) bool {
+	return !r.away.IsZero() && now.Sub(r.away) >= d
+}
+
 // isWhole reports whether all collections are known, however old.
 func isWhole(positions []Position) bool {
 	return !slices.ContainsFunc(positions, func(p Position) bool { return p.At == 0 })
@@ -233,7 +251,7 @@
 	if r.away.IsZero() {
 		r.away = now
 	}
-	if now.Sub(r.away) < awayTime || r.helps(now, r.helper) {
+	if !r.isAway(now, awayTime) || r.helps(now, r.helper) {
 		return r.helper
 	}
 	r.helper = ""
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// TestWhoStartsReads has a process that knows nothing yet and hears the one that it
+// would follow.
+func TestWhoStartsReads(t *testing.T) {
+	order := domain(3)
+	cases := map[string]struct {
+		reaches bool
+		after   time.Duration
+		want    discovery.Plan
+	}{
+		"at once":                       {false, 0, discovery.Plan{Reads: true}},
+		"it reaches the store":          {true, 2 * time.Second, discovery.Plan{Reads: true}},
+		"the store may be slow":         {false, 200 * time.Millisecond, discovery.Plan{Reads: true}},
+		"it does not, and is told, too": {false, 700 * time.Millisecond, discovery.Plan{Feed: order[0].ID, Reads: true}},
+		"until it knows all":            {false, 2 * time.Second, discovery.Plan{Feed: order[0].ID, Reads: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("The plan", t, func() {
+				r := discovery.NewRelay(order[2])
+				r.SetPeers(order)
+				var plan discovery.Plan
+				for after := time.Duration(0); after <= c.after; after += 100 * time.Millisecond {
+					r.Hear(epoch.Add(after), order[0].ID, discovery.HopsReader, at(5))
+					plan = r.Plan(epoch.Add(after), at(0), c.reaches)
+				}
+				convey.So(plan, convey.ShouldResemble, c.want)
+			})
+		})
+	}
+}
+
 func TestOneReaderForEachDomain(t *testing.T) {
 	convey.Convey("Whatever its size", t, func() {
 		for _, count := range []int{1, 2, 8, 40, 182, 273} {
--- a/node/capacity_test.go
+++ b/node/capacity_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,7 +52,7 @@
 	return []byte(b.String())
 }
 
-// control is what control costs the nodes, in bytes a second in and out.
+// control is what control costs the nodes, in bytes in and out.
 type control struct{ mean, most float64 }
 
 // measure returns the cost from now on, while the given changes are made.
@@ -63,11 +64,17 @@
 		time.Sleep(changeTime)
 	}
 	spent := time.Since(began).Seconds()
+	c := r.carriedSince(before)
+	return control{mean: c.mean / spent, most: c.most / spent}
+}
+
+// carriedSince returns the bytes of the nodes since then.
+func (r *rig) carriedSince(before map[standin.Path]int64) control {
 	each := map[string]float64{}
 	for path, size := range r.network.Carried() {
 		for _, ip := range []string{path.From, path.To} {
 			if strings.HasPrefix(ip, "10.1.") {
-				each[ip] += float64(size-before[path]) / spent
+				each[ip] += float64(size - before[path])
 			}
 		}
 	}
@@ -79,6 +86,15 @@
 	return c
 }
 
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // TestControlByNumberOfNodes measures what nodes without callers send and receive:
 // at rest, and while configurations change as often as they will in two years. What
 // the table prints is in docs/CAPACITY.md.
@@ -98,9 +114,22 @@
 						convey.So(standin.NewRegistrar(r.register, e).Write(t.Context()), convey.ShouldBeNil)
 					}
 					r.publish(file)
+					carried, used := r.network.Carried(), processorTime()
 					for _, e := range r.inv.Entries {
 						r.start(e.ID)
 					}
+					time.Sleep(startTime)
+					serving := 0
+					for _, n := range r.nodes {
+						if n.state() == StateServing {
+							serving++
+						}
+					}
+					convey.So(serving, convey.ShouldEqual, nodes)
+					start := r.carriedSince(carried)
+					used = processorTime() - used
+					t.Logf("%4d nodes: to start together %6.0f KB a node, most %6.0f; %v of a processor, the stand-in's included",
+						nodes, start.mean/1000, start.most/1000, used/time.Duration(nodes))
 					time.Sleep(warmTime)
 					reads := r.platform.Counts().Reads
 					rest := r.measure(func(int) {})
