The check of answers is the stand-ins', for the soak and other callers

The stand-in's targets echo what they were asked; whether an answer is whole is told beside that. Moved with its test, unchanged.

--- a/soak/load.go
+++ b/soak/load.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -151,7 +149,7 @@
 		d.leaveNode()
 	}
 	if err == nil && reply.Outcome == caller.OutcomeRan {
-		if wrong := compare(op, reply); wrong != "" {
+		if wrong := standin.WrongWith(op, reply); wrong != "" {
 			d.world.evidence.Wrong(time.Now(), op.ID, wrong)
 		}
 	}
@@ -159,28 +157,6 @@
 	d.world.evidence.Answered(time.Now(), op.ID, reply, err, left)
 }
 
-// compare tells what is wrong with an answer.
-func compare(op caller.Operation, r caller.Reply) string {
-	if r.Status >= http.StatusInternalServerError {
-		return "" // a failure that the endpoint gave
-	}
-	if r.Header.Get(caller.Dialect.Signature) == "" {
-		return "a success without a signature"
-	}
-	var echo standin.Echo
-	if err := json.Unmarshal(r.Body, &echo); err != nil {
-		return fmt.Sprintf("its answer is no echo: %v", err)
-	}
-	body := string(op.Body)
-	if echo.Early {
-		body = ""
-	}
-	if echo.Request != op.ID || echo.Method != op.Method || echo.Path != op.Path || echo.Body != body {
-		return fmt.Sprintf("it asked %s %s %q and was answered %+v", op.Method, op.Path, op.Body, echo)
-	}
-	return ""
-}
-
 // ask has look-ups answered by random nodes until ctx ends, and notes which nodes
 // these name.
 func (w *world) ask(ctx context.Context) {
--- a/soak/load_test.go
+++ b/standin/echo_test.go
@@ -1,4 +1,4 @@
-package soak
+package standin_test
 
 import (
 	"encoding/json"
@@ -41,7 +41,7 @@
 				if c.signed {
 					r.Header.Set(caller.Dialect.Signature, "x")
 				}
-				convey.So(compare(op, r) == "", convey.ShouldEqual, c.allowed)
+				convey.So(standin.WrongWith(op, r) == "", convey.ShouldEqual, c.allowed)
 			})
 		})
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -325,18 +325,6 @@
 	return false
 }
 
-// Echo is the answer of a target: what it was asked, so that a caller can tell
-// its own answer from another's.
-type Echo struct {
-	Target  string `json:"target"`
-	Request string `json:"request"`
-	Method  string `json:"method"`
-	Path    string `json:"path"`
-	Body    string `json:"body"`
-	Early   bool   `json:"early,omitempty"` // made before the body was read
-	Fill    string `json:"fill"`
-}
-
 func (t *Target) fails(b Behaviour) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
