A change that is under way is not taken for one that was missed

Cause: a node that heard for 0.7 s on end of a neighbour with newer changes read the store for itself for 5 s. While changes keep coming that is always so, also if each arrives within 0.4 s. Nodes remember which change they lack, of each collection, and since when.

Ruled out: that lists have many pages (500 objects each: 2 pages at 561 endpoints).

Test: TestNewsUnderWay ("in time" failed before).

--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -60,7 +60,7 @@
 	feed   inventory.EntryID   // who tells this process in the tree; "": nobody
 	domain []inventory.EntryID // all processes of the own domain
 	told   map[inventory.EntryID]telling
-	behind time.Time         // since when a neighbour is ahead; zero: none is
+	lacks  map[platform.Collection]lack
 	hold   time.Time         // until when this process reads whoever else does
 	away   time.Time         // since when it reads and does not reach the store; zero: it does, or does not read
 	helper inventory.EntryID // who tells this process while it is away; "": nobody
@@ -73,6 +73,12 @@
 	positions []Position
 }
 
+// lack is a change that neighbours know and this process does not.
+type lack struct {
+	revision platform.Revision
+	since    time.Time
+}
+
 // Hops is how many processes lie between the store and one that is kept up to date.
 type Hops int
 
@@ -91,7 +97,7 @@
 
 // NewRelay returns the relay of a process that knows nobody.
 func NewRelay(self Peer) *Relay {
-	return &Relay{self: self, told: map[inventory.EntryID]telling{}}
+	return &Relay{self: self, told: map[inventory.EntryID]telling{}, lacks: map[platform.Collection]lack{}}
 }
 
 // SetPeers says which processes there may be.
@@ -284,35 +290,38 @@
 	return xxhash.Sum64String(string(r.self.ID) + "/" + string(id))
 }
 
-// stays reports whether this process has been behind a reader for too long, once
-// for each time.
+// stays reports whether this process has lacked a change that a neighbour knows for too
+// long, once for each time. To be behind is no fault while changes keep coming.
 func (r *Relay) stays(now time.Time, own []Position) bool {
-	if !r.isBehind(now, own) {
-		r.behind = time.Time{}
-		return false
-	}
-	if r.behind.IsZero() {
-		r.behind = now
-	}
-	if now.Sub(r.behind) < behindTime {
-		return false
+	stays := false
+	for kind, newest := range r.heard(now) {
+		known := newestOf(own, kind)
+		l, lacks := r.lacks[kind]
+		switch {
+		case known >= newest:
+			delete(r.lacks, kind)
+		case !lacks || known >= l.revision:
+			r.lacks[kind] = lack{revision: newest, since: now}
+		case now.Sub(l.since) >= behindTime:
+			r.lacks[kind] = lack{revision: newest, since: now}
+			stays = true
+		}
 	}
-	r.behind = now
-	return true
+	return stays
 }
 
-func (r *Relay) isBehind(now time.Time, own []Position) bool {
+// heard returns the newest change of each collection that any neighbour knows.
+func (r *Relay) heard(now time.Time) map[platform.Collection]platform.Revision {
+	all := map[platform.Collection]platform.Revision{}
 	for _, t := range r.told {
 		if t.hops == HopsNone || now.Sub(t.at) > heardTime {
 			continue
 		}
 		for _, p := range t.positions {
-			if p.Newest > newestOf(own, p.Kind) {
-				return true
-			}
+			all[p.Kind] = max(all[p.Kind], p.Newest)
 		}
 	}
-	return false
+	return all
 }
 
 func newestOf(positions []Position, kind platform.Collection) platform.Revision {
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -172,3 +172,41 @@
 		convey.So(r.Plan(now, at(9), true), convey.ShouldResemble, discovery.Plan{Reads: true})
 	})
 }
+
+// TestNewsUnderWay has changes come all the time, each a while later here than at a
+// neighbour.
+func TestNewsUnderWay(t *testing.T) {
+	const drains platform.Collection = "drains"
+	order := domain(2)
+	cases := map[string]struct {
+		late  time.Duration
+		lacks bool // a change of another collection
+		want  time.Duration
+	}{
+		"in time":                   {late: 400 * time.Millisecond},
+		"late":                      {late: 1500 * time.Millisecond, want: 700 * time.Millisecond},
+		"in time, but for one kind": {late: 400 * time.Millisecond, lacks: true, want: 700 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Who gets all in time reads nothing", t, func() {
+				r := discovery.NewRelay(order[1])
+				r.SetPeers(order)
+				var read time.Duration // the first time; 0: never
+				for past := time.Duration(0); past < 5*time.Second; past += 100 * time.Millisecond {
+					newest := platform.Revision(10_000 + past/time.Millisecond)
+					heard, own := at(newest), at(newest-platform.Revision(c.late/time.Millisecond))
+					own = append(own, discovery.Position{Kind: drains, At: 5, Newest: 5})
+					if c.lacks {
+						heard = append(heard, discovery.Position{Kind: drains, At: 9, Newest: 9})
+					}
+					r.Hear(epoch.Add(past), order[0].ID, discovery.HopsReader, heard)
+					if r.Plan(epoch.Add(past), own, true).Reads && read == 0 {
+						read = past
+					}
+				}
+				convey.So(read, convey.ShouldEqual, c.want)
+			})
+		})
+	}
+}
