A change that nobody tells of any more is not lacked

A process that did not run for a while, or hears its neighbours no longer, kept the time since which it lacked a change, and took the next news for late at once.

Test: TestAChangeThatNobodyTellsOfAnyMore, failed before.

--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -20,6 +20,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -60,10 +61,10 @@
 	feed   inventory.EntryID   // who tells this process in the tree; "": nobody
 	domain []inventory.EntryID // all processes of the own domain
 	told   map[inventory.EntryID]telling
-	lacks  map[platform.Collection]lack
-	hold   time.Time         // until when this process reads whoever else does
-	away   time.Time         // since when it reads and does not reach the store; zero: it does, or does not read
-	helper inventory.EntryID // who tells this process while it is away; "": nobody
+	lacks  map[platform.Collection]lack // of the collections in which a neighbour is ahead
+	hold   time.Time                    // until when this process reads whoever else does
+	away   time.Time                    // since when it reads and does not reach the store; zero: it does, or does not read
+	helper inventory.EntryID            // who tells this process while it is away; "": nobody
 }
 
 // telling is what a process last said.
@@ -293,8 +294,9 @@
 // stays reports whether this process has lacked a change that a neighbour knows for too
 // long, once for each time. To be behind is no fault while changes keep coming.
 func (r *Relay) stays(now time.Time, own []Position) bool {
-	stays := false
-	for kind, newest := range r.heard(now) {
+	heard, stays := r.heard(now), false
+	maps.DeleteFunc(r.lacks, func(kind platform.Collection, _ lack) bool { return heard[kind] == 0 })
+	for kind, newest := range heard {
 		known := newestOf(own, kind)
 		l, lacks := r.lacks[kind]
 		switch {
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -210,3 +210,19 @@
 		})
 	}
 }
+
+// TestAChangeThatNobodyTellsOfAnyMore has a process not run for a while, after it has
+// heard of a change.
+func TestAChangeThatNobodyTellsOfAnyMore(t *testing.T) {
+	order := domain(2)
+	convey.Convey("It is not lacked from then on", t, func() {
+		r := discovery.NewRelay(order[1])
+		r.SetPeers(order)
+		for _, past := range []time.Duration{0, 3 * time.Second} {
+			r.Hear(epoch.Add(past), order[0].ID, discovery.HopsReader, at(9))
+			convey.So(r.Plan(epoch.Add(past), at(5), true), convey.ShouldResemble, discovery.Plan{Feed: order[0].ID})
+			r.Doubt()
+			r.Plan(epoch.Add(past+time.Second), at(5), true)
+		}
+	})
+}
