--- a/admission/admission.go
+++ b/admission/admission.go
@@ -49,7 +49,11 @@
 // now are chosen last, but no reason to refuse: when all of them seem slow, only
 // requests can show that they no longer are. Least is Run if the endpoint has the
 // object: a request that brings it there may take longer, since later ones gain by it.
-type Estimate struct{ Wait, Run, Least time.Duration }
+// Guess says that no request of its kind has been answered yet, so that these are guesses.
+type Estimate struct {
+	Wait, Run, Least time.Duration
+	Guess            bool
+}
 
 // Verdict is the decision on a request.
 type Verdict struct {
@@ -64,7 +68,11 @@
 		return Verdict{Admit: true}
 	}
 	limit := time.Duration(float64(r.Left) * leftShare)
-	if over := max(e.Wait+e.Run-limit, e.Wait+e.Least-r.bears()); over > 0 {
+	over := e.Wait + e.Run - limit
+	if !e.Guess {
+		over = max(over, e.Wait+e.Least-r.bears())
+	}
+	if over > 0 {
 		return Verdict{After: After(over, r.Left)}
 	}
 	return Verdict{Admit: true}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -27,6 +27,8 @@
 		"late, and urgent":            {admission.Request{Left: 4 * time.Second, Objective: 100 * ms}, admission.Estimate{Wait: 130 * ms, Run: 60 * ms, Least: 60 * ms}, true},
 		"late, and less urgent":       {admission.Request{Left: 4 * time.Second, Objective: 100 * ms, Priority: 2}, admission.Estimate{Wait: 130 * ms, Run: 60 * ms, Least: 60 * ms}, false},
 		"in time, and least urgent":   {admission.Request{Left: 4 * time.Second, Objective: 100 * ms, Priority: 99}, admission.Estimate{Wait: 30 * ms, Run: 60 * ms, Least: 60 * ms}, true},
+		"late, by guesses":            {admission.Request{Left: 4 * time.Second, Objective: 100 * ms}, admission.Estimate{Wait: 150 * ms, Run: 60 * ms, Least: 60 * ms, Guess: true}, true},
+		"too long, by guesses":        {admission.Request{Left: time.Second, Objective: time.Second}, admission.Estimate{Wait: 900 * ms, Run: 200 * ms, Guess: true}, false},
 		"late as it brings an object": {admission.Request{Left: 4 * time.Second, Objective: 100 * ms}, admission.Estimate{Wait: 30 * ms, Run: 300 * ms, Least: 60 * ms}, true},
 	}
 	for name, c := range cases {
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -69,6 +69,7 @@
 	Longest  time.Duration // the wait, the way, and the work if the object is not warm after all
 	Busy     float64       // requests there, by the estimate
 	Free     bool          // no wait was expected
+	Guess    bool          // no request of the route has been served yet, so times of work are guesses
 	// Connections is how many this node may have to the endpoint, and Patience how
 	// long it should wait for a new one; 0: not known.
 	Connections int
@@ -98,6 +99,8 @@
 // work is what is known of the work of a route's requests.
 type work struct{ warm, cold average }
 
+func (w *work) isKnown() bool { return w.warm.count > 0 || w.cold.count > 0 }
+
 // ranked is a candidate.
 type ranked struct {
 	state *state
@@ -330,6 +333,7 @@
 		Longest:     toDuration(e.wait + e.cold + e.way),
 		Busy:        e.busy,
 		Free:        e.wait == 0,
+		Guess:       !t.workOf(q.Route).isKnown(),
 		Connections: t.connections(g),
 		Patience:    t.patience(s),
 		state:       s,
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -306,6 +306,24 @@
 	})
 }
 
+// TestTheFirstRequestsOfADay come together for one object, before any has been answered
+// that would tell how long they take.
+func TestTheFirstRequestsOfADay(t *testing.T) {
+	bubble(t, func(r *rig) {
+		convey.Convey("None is refused by a guess", t, func() {
+			var wait sync.WaitGroup
+			replies := make([]reply, 60)
+			for i := range replies {
+				wait.Go(func() { replies[i] = r.send(r.t.Context(), "n1", ask{path: "/get/1", object: "lamp"}) })
+			}
+			wait.Wait()
+			for _, p := range replies {
+				convey.So(p.status, convey.ShouldEqual, http.StatusOK)
+			}
+		})
+	})
+}
+
 // TestNotRunIsSaidOfNoRequestThatRan has one endpoint after the other lose its
 // answers while all others refuse, so that a request may run and then be refused.
 func TestNotRunIsSaidOfNoRequestThatRan(t *testing.T) {
--- a/node/steer.go
+++ b/node/steer.go
@@ -109,7 +109,7 @@
 	}
 	v := admission.Decide(
 		admission.Request{Priority: q.route.Priority, Objective: q.route.Objective.Duration, Left: left},
-		admission.Estimate{Wait: choice.Wait, Run: choice.Usual, Least: choice.Least})
+		admission.Estimate{Wait: choice.Wait, Run: choice.Usual, Least: choice.Least, Guess: choice.Guess})
 	if !v.Admit {
 		refused := attemptAt(choice, "refused", 0)
 		q.refused = &refused
