--- a/admission/admission.go
+++ b/admission/admission.go
@@ -59,6 +59,8 @@
 type Verdict struct {
 	Admit bool
 	After time.Duration // when to come back
+	// Takes and Bound say why a request is refused: what it would take, and what it may.
+	Takes, Bound time.Duration
 }
 
 // Decide admits a request if it is likely to be answered in time, and not much later
@@ -68,14 +70,14 @@
 		return Verdict{Admit: true}
 	}
 	limit := time.Duration(float64(r.Left) * leftShare)
-	over := e.Wait + e.Run - limit
-	if !e.Guess {
-		over = max(over, e.Wait+e.Least-r.bears())
+	takes, bound := e.Wait+e.Run, limit
+	if late := e.Wait + e.Least; !e.Guess && late-r.bears() > takes-bound {
+		takes, bound = late, r.bears()
 	}
-	if over > 0 {
-		return Verdict{After: After(over, r.Left)}
+	if takes <= bound {
+		return Verdict{Admit: true}
 	}
-	return Verdict{Admit: true}
+	return Verdict{After: After(takes-bound, r.Left), Takes: takes, Bound: bound}
 }
 
 // bears is how long a request may take that has to wait.
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -38,6 +38,7 @@
 				convey.So(v.Admit, convey.ShouldEqual, c.admit)
 				if !c.admit {
 					convey.So(v.After, convey.ShouldBeBetweenOrEqual, 100*ms, c.request.Left/3)
+					convey.So(v.Takes, convey.ShouldBeGreaterThan, v.Bound)
 				}
 			})
 		})
--- a/node/capacity_test.go
+++ b/node/capacity_test.go
@@ -52,6 +52,18 @@
 	return []byte(b.String())
 }
 
+// sizedRig is a rig without nodes of such an inventory, which is in force. Its endpoints
+// are registered.
+func sizedRig(t *testing.T, nodes int) *rig {
+	file := sizedText(nodes)
+	r := emptyRig(t, file)
+	for _, e := range r.inv.Endpoints {
+		convey.So(standin.NewRegistrar(r.register, e).Write(t.Context()), convey.ShouldBeNil)
+	}
+	r.publish(file)
+	return r
+}
+
 // control is what control costs the nodes, in bytes in and out.
 type control struct{ mean, most float64 }
 
@@ -108,12 +120,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				convey.Convey("A node's part stays within its budget", t, func() {
 					file := sizedText(nodes)
-					r := emptyRig(t, file)
+					r := sizedRig(t, nodes)
 					defer r.close()
-					for _, e := range r.inv.Endpoints {
-						convey.So(standin.NewRegistrar(r.register, e).Write(t.Context()), convey.ShouldBeNil)
-					}
-					r.publish(file)
 					carried, used := r.network.Carried(), processorTime()
 					for _, e := range r.inv.Entries {
 						r.start(e.ID)
--- a/node/front.go
+++ b/node/front.go
@@ -107,7 +107,7 @@
 		line = append(line, "after", rounded(a.after))
 	}
 	if q.refused != nil {
-		line = append(line, "best", q.refused.String())
+		line = append(line, "best", q.refused.String(), "takes", rounded(q.takes), "bound", rounded(q.bound))
 	}
 	if q.excluded != (endpoint.Exclusions{}) {
 		line = append(line, "excluded", q.excluded)
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -19,6 +19,7 @@
 type sink struct {
 	mu    sync.Mutex
 	text  bytes.Buffer
+	most  int // bytes of a write
 	block chan struct{}
 }
 
@@ -27,6 +28,7 @@
 	<-s.block
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.most = max(s.most, len(p))
 	return s.text.Write(p)
 }
 
@@ -36,6 +38,23 @@
 	return strings.Split(strings.TrimSpace(s.text.String()), "\n")
 }
 
+// collect returns what the log writes, until end is called.
+func collect() (out *sink, end func()) {
+	out = &sink{block: make(chan struct{})}
+	close(out.block)
+	log := NewLog(out)
+	done, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(written)
+		log.Run(done)
+	}()
+	return out, func() {
+		close(done)
+		<-written
+		klog.ClearLogger()
+	}
+}
+
 func TestLogsNeverBlockAndAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("What does not fit is counted", t, func() {
@@ -57,6 +76,7 @@
 			<-written
 			lines := out.lines()
 			convey.So(len(lines), convey.ShouldBeBetween, logBurst, logBurst+10)
+			convey.So(out.most, convey.ShouldBeBetweenOrEqual, 1, logWrite)
 			left := 0
 			for _, l := range lines {
 				var entry struct {
@@ -76,32 +96,49 @@
 	const nodes = 2 * logBurst / perNode
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("No endpoint and no step is left out", t, func() {
-			out := &sink{block: make(chan struct{})}
-			close(out.block)
-			done, written := make(chan struct{}), make(chan struct{})
-			file := sizedText(nodes)
-			r := emptyRig(t, file)
+			r := sizedRig(t, nodes)
 			defer r.close()
-			for _, e := range r.inv.Endpoints {
-				convey.So(standin.NewRegistrar(r.register, e).Write(t.Context()), convey.ShouldBeNil)
-			}
-			r.publish(file)
-			log := NewLog(out)
-			defer klog.ClearLogger()
-			go func() {
-				defer close(written)
-				log.Run(done)
-			}()
+			out, end := collect()
 			r.start("n0")
 			time.Sleep(2 * time.Second)
-			close(done)
-			<-written
+			end()
 			text := strings.Join(out.lines(), "\n")
 			convey.So(text, convey.ShouldNotContainSubstring, "left out")
 			convey.So(text, convey.ShouldContainSubstring, `"msg":"serving"`)
+			convey.So(out.most, convey.ShouldBeLessThanOrEqualTo, logWrite)
 			for _, e := range r.inv.Endpoints {
 				convey.So(strings.Contains(text, string(e.ID)+" s "), convey.ShouldBeTrue)
 			}
 		})
 	})
 }
+
+func TestARefusalTellsWhatDecided(t *testing.T) {
+	bubble(t, func(r *rig) {
+		convey.Convey("It would take longer than it may", t, func() {
+			r.behave(standin.Behaviour{Work: 300 * time.Millisecond})
+			r.send(r.t.Context(), "n1", ask{})
+			out, end := collect()
+			var wait sync.WaitGroup
+			for range 200 {
+				wait.Go(func() { r.send(r.t.Context(), "n1", ask{}) })
+			}
+			wait.Wait()
+			end()
+			refused := 0
+			for _, l := range out.lines() {
+				var line struct {
+					Reason       string  `json:"reason"`
+					Takes, Bound float64 // seconds
+				}
+				convey.So(json.Unmarshal([]byte(l), &line), convey.ShouldBeNil)
+				if line.Reason == string(ReasonLate) {
+					refused++
+					convey.So(line.Bound, convey.ShouldBeGreaterThan, 0)
+					convey.So(line.Takes, convey.ShouldBeGreaterThan, line.Bound)
+				}
+			}
+			convey.So(refused, convey.ShouldBeGreaterThan, 0)
+		})
+	})
+}
--- a/node/request.go
+++ b/node/request.go
@@ -38,6 +38,8 @@
 
 	attempts []attempt
 	refused  *attempt            // the endpoint that would have been tried, had the request not been refused
+	takes    time.Duration       // what it would have taken there
+	bound    time.Duration       // and what it might
 	excluded endpoint.Exclusions // why others were not, if there was none to try
 }
 
--- a/node/steer.go
+++ b/node/steer.go
@@ -112,7 +112,7 @@
 		admission.Estimate{Wait: choice.Wait, Run: choice.Usual, Least: choice.Least, Guess: choice.Guess})
 	if !v.Admit {
 		refused := attemptAt(choice, "refused", 0)
-		q.refused = &refused
+		q.refused, q.takes, q.bound = &refused, v.Takes, v.Bound
 		a := notRun(ReasonLate, v.After)
 		return endpoint.Choice{}, &a
 	}
