node: a connection without a request is idle, not a slow header

Cause: net/http bounds the time from opening a connection to the end of the first header by the limit for headers (3 s).

Change: callerConn counts a connection as idle until its first byte; the limit for headers applies from there. Its drain deadline at a stop is never extended by them. Weighed: a longer limit for headers would also allow slow headers; the cost of this one is a descriptor per unused connection for the idle limit, as for used ones.

--- a/node/request_server.go
+++ b/node/request_server.go
@@ -55,7 +55,7 @@
 	openConns  atomic.Int64 // number of connections
 
 	mu        sync.Mutex
-	idleConns map[net.Conn]bool // connections without a request, and whether their drain deadline is set
+	idleConns map[*callerConn]bool // connections without a request, and whether their drain deadline is set
 }
 
 func newRequestServer(l net.Listener, h http.Handler, limits *atomic.Pointer[inventory.Limits]) *requestServer {
@@ -96,7 +96,7 @@
 }
 
 func newLimitedServer(srv *requestServer, limits inventory.Limits) *limitedServer {
-	s := &limitedServer{Listener: srv.listener, limits: limits, conns: make(chan net.Conn), closed: make(chan struct{}), idleConns: map[net.Conn]bool{}}
+	s := &limitedServer{Listener: srv.listener, limits: limits, conns: make(chan net.Conn), closed: make(chan struct{}), idleConns: map[*callerConn]bool{}}
 	s.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if s.superseded.Load() {
@@ -126,7 +126,8 @@
 }
 
 // trackState records the state of a connection. assignConn has counted it when it was accepted.
-func (s *limitedServer) trackState(c net.Conn, state http.ConnState) {
+func (s *limitedServer) trackState(conn net.Conn, state http.ConnState) {
+	c := conn.(*callerConn) // Accept returns no other type
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -134,7 +135,7 @@
 		s.idleConns[c] = false
 	case http.StateActive:
 		if s.idleConns[c] {
-			_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+			c.endDrainDeadline()
 		}
 		delete(s.idleConns, c)
 	case http.StateClosed, http.StateHijacked:
@@ -150,7 +151,7 @@
 	for c, draining := range s.idleConns {
 		if !draining {
 			s.idleConns[c] = true
-			_ = c.SetReadDeadline(time.Now().Add(idleDrainTime)) // fails only if the connection is closed
+			c.setDrainDeadline(time.Now().Add(idleDrainTime))
 		}
 	}
 }
@@ -159,7 +160,7 @@
 func (s *limitedServer) Accept() (net.Conn, error) {
 	select {
 	case c := <-s.conns:
-		return c, nil
+		return &callerConn{Conn: c, idle: s.limits.IdleTimeout.Duration, header: s.limits.HeaderTimeout.Duration}, nil
 	case <-s.closed:
 		return nil, net.ErrClosed
 	}
