endpoint: an endpoint that has just started has no objects cached

Cause: the first endpoint by hashing was expected to have an object cached, also if it had just registered.

Change: until an endpoint has warmed up, the first endpoint in rank that has is the primary one.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -123,14 +123,15 @@
 	}
 	best = t.preferLocal(now, p, q, best)
 	var chosen, primary estimate
+	primaryRank := rankOfPrimary(now, best)
 	rank, lowest := 0, math.Inf(1)
 	for i, cand := range best {
-		e := t.estimate(now, p, q, cand.state, i)
+		e := t.estimate(now, p, q, cand.state, i == primaryRank)
 		cost := e.cost()
 		switch {
-		case i == 0:
+		case i == primaryRank:
 			primary = e
-		case i == replicaRank && p.mayReplicate(now, q, primary, e):
+		case i == primaryRank+replicaOffset && p.mayReplicate(now, q, primary, e):
 			cost = e.asReplication().cost()
 		}
 		if cost < lowest {
@@ -143,6 +144,18 @@
 	return c, ""
 }
 
+// rankOfPrimary returns the rank of the endpoint that is expected to have served the object
+// before. That is the first one, unless it has just started: then its objects were served by
+// the next one that has not.
+func rankOfPrimary(now time.Time, best []candidate) int {
+	for i, cand := range best {
+		if !cand.state.warmup.active(now) {
+			return i
+		}
+	}
+	return 0
+}
+
 // rank returns the usable endpoints with the highest scores, in descending order. If there
 // are none, it returns the reason.
 func (t *Table) rank(now time.Time, p *pool, q Query) (best []candidate, reason Reason) {
@@ -280,7 +293,7 @@
 }
 
 // estimate returns the expected times of a request at a candidate.
-func (t *Table) estimate(now time.Time, p *pool, q Query, s *endpointState, rank int) estimate {
+func (t *Table) estimate(now time.Time, p *pool, q Query, s *endpointState, isPrimary bool) estimate {
 	objective := q.Objective.Seconds()
 	e := estimate{
 		roundTrip:   t.roundTrip(s.Domain).Seconds(),
@@ -288,7 +301,7 @@
 		utilization: p.utilization,
 		failureCost: s.health.currentFailureScore(now) * failureCostFactor * objective,
 		requests:    s.requests(now),
-		isWarm:      q.Object == 0 || rank == 0 || p.locations.contains(q.Object, s),
+		isWarm:      q.Object == 0 || isPrimary || p.locations.contains(q.Object, s),
 	}
 	e.warm, e.cold = t.routeServiceTimes(q.Route).estimates(objective)
 	e.serviceTime = e.cold
--- a/endpoint/replica.go
+++ b/endpoint/replica.go
@@ -14,7 +14,7 @@
 import "time"
 
 const (
-	replicaRank           = 1               // rank of the endpoint that gets a replica
+	replicaOffset         = 1               // rank of the endpoint that gets a replica, after the primary endpoint
 	maxReplicaUtilization = 0.5             // utilization of a service below which replicas are created: slots for a cold run are free
 	replicaRecency        = 3 * time.Second // limit on the time since the object's last use: a replica of a rarely used object would be evicted before it is of use
 	// maxLossShare is the share of requests that may find their object evicted while
--- a/endpoint/replica_test.go
+++ b/endpoint/replica_test.go
@@ -32,7 +32,7 @@
 				convey.So(table.Start(epoch, primary), convey.ShouldBeTrue)
 				c.prepare(table, &q)
 				next, _ := table.Choose(epoch, q)
-				convey.So(next.Rank == replicaRank && !next.Warm, convey.ShouldEqual, c.want)
+				convey.So(next.Rank == replicaOffset && !next.Warm, convey.ShouldEqual, c.want)
 			})
 		})
 	}
--- a/endpoint/warmup_test.go
+++ b/endpoint/warmup_test.go
@@ -110,3 +110,51 @@
 		convey.So(table.Status(epoch)[0].InFlight, convey.ShouldEqual, 0)
 	})
 }
+
+func TestStartedEndpointHasNoObjectsCached(t *testing.T) {
+	const warm, cold = 200 * time.Millisecond, 640 * time.Millisecond
+	cases := map[string]struct {
+		after    time.Duration // after the endpoint registered
+		returned bool          // an endpoint that had served the objects before
+		moved    bool
+	}{
+		"just started":               {},
+		"near the end of its warmup": {after: 2900 * time.Millisecond},
+		"after its warmup":           {after: 3400 * time.Millisecond, moved: true},
+		"served the object before":   {returned: true, moved: true},
+	}
+	topo := topology{1, 2, 3, 3}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Its objects stay where they were served until it has warmed up", t, func() {
+				table, now, moved := topo.table(), epoch, 0
+				added := inventory.Endpoint{ID: "new", Service: "s", Domain: "d0-0", Address: "10.9.9.9:80", Slots: 3, Start: epoch}
+				previous := map[Object]inventory.EndpointID{}
+				if c.returned {
+					table.Register(now, added)
+				}
+				for o := Object(1); o <= 100; o++ {
+					for _, took := range []time.Duration{cold, warm} {
+						choice, _ := table.Choose(now, query(o))
+						serve(table, now, choice, took)
+						previous[o] = choice.Endpoint.ID
+						now = now.Add(time.Second)
+					}
+				}
+				added.ColdRemaining = 3 * time.Second
+				table.Register(now, added)
+				table.SetColdSenders(ColdSenders{Self: "n", Entries: []inventory.EntryID{"n"}})
+				now = now.Add(c.after)
+				for o := Object(1); o <= 100; o++ {
+					choice, _ := table.Choose(now, query(o))
+					if choice.Endpoint.ID == "new" {
+						moved++
+						continue
+					}
+					convey.So(choice.Endpoint.ID, convey.ShouldEqual, previous[o])
+				}
+				convey.So(moved > 0, convey.ShouldEqual, c.moved)
+			})
+		})
+	}
+}
