node: requests sent ahead are canceled with their caller, and don't reset the response

Cause: net/http stops watching a connection when the first byte of the next request arrives, so a caller that left was not noticed and the requests behind the first were still passed on. A connection that is closed behind a response while further requests are unread is reset by the kernel, and the response is lost with it: during a stop, a request that was accepted ended without its answer.

Weighed: steering the requests behind the first while it runs.

--- a/node/request_server.go
+++ b/node/request_server.go
@@ -53,6 +53,7 @@
 	close      sync.Once
 	superseded atomic.Bool  // whether other limits are in force
 	openConns  atomic.Int64 // number of connections
+	aborting   atomic.Bool  // all connections are closed at once
 
 	mu        sync.Mutex
 	idleConns map[*callerConn]bool // connections without a request, and whether their drain deadline is set
@@ -128,6 +129,7 @@
 // trackState records the state of a connection. assignConn has counted it when it was accepted.
 func (s *limitedServer) trackState(conn net.Conn, state http.ConnState) {
 	c := conn.(*callerConn) // Accept returns no other type
+	c.serving.Store(state == http.StateActive)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -160,7 +162,7 @@
 func (s *limitedServer) Accept() (net.Conn, error) {
 	select {
 	case c := <-s.conns:
-		return &callerConn{Conn: c, idle: s.limits.IdleTimeout.Duration, header: s.limits.HeaderTimeout.Duration}, nil
+		return &callerConn{Conn: c, aborting: &s.aborting, idle: s.limits.IdleTimeout.Duration, header: s.limits.HeaderTimeout.Duration}, nil
 	case <-s.closed:
 		return nil, net.ErrClosed
 	}
@@ -236,6 +238,7 @@
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	for _, s := range srv.servers {
+		s.aborting.Store(true)
 		_ = s.server.Close()
 	}
 }
