exchange: a connection found dead after its endpoint was removed is not remembered

Cause: RecordDead recreated the entry of a removed endpoint, so an endpoint that uses the address later had its connections closed early. Memory of a long body grew by copies, which left several times its size to the collector.

Change: RecordDead looks the entry up; long bodies are kept in chunks.

TestEndlessResponses failed once in the case of a second response: the bytes arrived when the connection was idle already, and nothing closed it in the test; nodes close idle connections by their limit, as the test now does.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -102,6 +102,7 @@
 					convey.So(exchange.NotRun(err), convey.ShouldBeFalse)
 				}
 				convey.So(time.Since(began), convey.ShouldBeLessThan, 10*time.Second) // not held to the deadline
+				p.CloseExpired(time.Now().Add(time.Minute))                           // a connection may be idle when the bytes arrive
 				select {
 				case sent := <-e.closed:
 					convey.So(sent, convey.ShouldBeLessThan, c.limit+socketBuffers)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -36,8 +36,9 @@
 const (
 	maxHeadSize       = 64 << 10 // bytes of a head, together with the informational responses before it
 	maxBodySize       = 16 << 20 // bytes of a body, which is buffered to be forwarded complete
-	maxReceiving      = 24 << 20 // bytes of all bodies that a pool is receiving, beyond freeBodySize of each
-	freeBodySize      = 64 << 10 // bytes of a body that don't count in maxReceiving
+	firstBodyChunk    = 8 << 10  // bytes of memory for a body of unknown length at first
+	bodyChunk         = 64 << 10 // bytes by which the memory of a long body grows
+	maxReceiving      = 24 << 20 // bytes of memory for bodies that a pool is receiving, beyond the first chunk of each
 	maxStrayResponses = 4        // responses to other requests that are discarded before the exchange fails
 )
 
@@ -457,32 +458,35 @@
 	if resp.ContentLength > maxBodySize {
 		return nil, fmt.Errorf("response body of %d bytes is too large", resp.ContentLength)
 	}
-	var body []byte
-	if resp.ContentLength >= 0 && resp.ContentLength <= freeBodySize {
-		body = make([]byte, resp.ContentLength)
+	if resp.ContentLength >= 0 && resp.ContentLength <= bodyChunk {
+		body := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	counted := int64(0)
-	defer func() { c.receiving.Add(-counted) }()
+	var chunks [][]byte
+	chunk, size := make([]byte, 0, firstBodyChunk), 0
+	reserved := int64(0)
+	defer func() { c.receiving.Add(-reserved) }()
 	for {
-		body = slices.Grow(body, min(max(len(body), 4<<10), freeBodySize))
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := resp.Body.Read(chunk[len(chunk):cap(chunk)])
+		chunk, size = chunk[:len(chunk)+n], size+n
 		switch {
 		case err == io.EOF:
-			return body, nil
+			return slices.Concat(append(chunks, chunk)...), nil
 		case err != nil:
 			return nil, err
-		case len(body) > maxBodySize:
+		case size > maxBodySize:
 			return nil, errors.New("response body is too large")
+		case len(chunk) < cap(chunk):
+			continue
 		}
-		if more := int64(len(body)) - freeBodySize - counted; more > 0 {
-			counted += more
-			if c.receiving.Add(more) > maxReceiving {
-				return nil, errors.New("too many bytes of responses are being received")
-			}
+		chunks = append(chunks, chunk)
+		next := min(2*cap(chunk), bodyChunk)
+		reserved += int64(next)
+		if c.receiving.Add(int64(next)) > maxReceiving {
+			return nil, errors.New("too many bytes of responses are being received")
 		}
+		chunk = make([]byte, 0, next)
 	}
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -368,6 +368,22 @@
 	})
 }
 
+func TestDeadConnectionOfRemovedEndpoint(t *testing.T) {
+	convey.Convey("It is not remembered, since the address may belong to another endpoint", t, func() {
+		s := newScriptedEndpoint(t)
+		p := exchange.New(exchange.Options{HeaderNames: headerNames})
+		_, err := p.Do(t.Context(), s.request("one"))
+		convey.So(err, convey.ShouldBeNil)
+		p.RemoveEndpoint("e", s.listen.Addr().String())
+		p.RecordDead("e", s.listen.Addr().String(), time.Nanosecond)
+		_, err = p.Do(t.Context(), s.request("two"))
+		convey.So(err, convey.ShouldBeNil)
+		a, err := p.Do(t.Context(), s.request("three"))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(a.Reused, convey.ShouldBeTrue)
+	})
+}
+
 func TestLoadHeader(t *testing.T) {
 	cases := map[string]exchange.Load{
 		"3,1,8":   {Running: 3, Waiting: 1, Slots: 8},
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -60,7 +60,7 @@
 type Pool struct {
 	headerNames HeaderNames
 	dialer      Dialer
-	receiving   atomic.Int64 // bytes of bodies that are being received, beyond freeBodySize of each
+	receiving   atomic.Int64 // bytes of memory that count in maxReceiving
 
 	mu           sync.Mutex
 	destinations map[destination]*connSet
@@ -346,7 +346,10 @@
 func (p *Pool) RecordDead(id inventory.EndpointID, address string, idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	set := p.connsTo(destination{id, address})
+	set := p.destinations[destination{id, address}]
+	if set == nil {
+		return // the endpoint has been removed meanwhile
+	}
 	if idle > 0 && (set.minDeadIdle == 0 || idle < set.minDeadIdle) {
 		set.minDeadIdle = idle
 	}
