discovery: removed objects stay removed, and probes from before a pause don't count

Cause: the mirror dropped all tombstones at once at 4,000, so a late change restored objects that had been removed just before: an endpoint that has left in use again. A probe that was in flight when the process paused, or stopped reading, decided whether the store counts as reachable afterwards.

Change: the older half is dropped, and a change up to their revisions of an object that isn't known is ignored. A probe counts only if the state didn't change meanwhile.

Measured: TestManyRemovedObjectsStayRemoved, TestProbeFromBeforePauseIsIgnored fail before. TestBatchesFromChangingUpstreams drew its last step unseeded; it is drawn now.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -142,7 +142,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordProbe(err)
+		f.recordProbe(err, changed)
 		interval := probeInterval
 		if err != nil {
 			interval = probeRetryInterval
@@ -151,10 +151,12 @@
 	}
 }
 
-// recordProbe records and reports the result of a probe.
-func (f *Follower) recordProbe(err error) {
+// recordProbe records and reports the result of a probe that began when changed was the
+// channel of the state. A result from before a change of the state, such as a pause of the
+// process, says nothing about the store now and is ignored.
+func (f *Follower) recordProbe(err error, changed chan struct{}) {
 	f.mu.Lock()
-	if !f.reading {
+	if !f.reading || f.changed != changed {
 		f.mu.Unlock()
 		return
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -234,3 +234,55 @@
 		})
 	})
 }
+
+// heldStore answers the probes of a store when they are released.
+type heldStore struct {
+	discovery.Store
+	release chan error
+}
+
+func (s *heldStore) ListStale(context.Context, platform.Collection) (platform.Listing, error) {
+	return platform.Listing{}, <-s.release
+}
+
+func (s *heldStore) Close() {}
+
+func TestProbeFromBeforePauseIsIgnored(t *testing.T) {
+	cases := map[string]struct {
+		refresh bool
+		reached int
+	}{
+		"no pause":                             {reached: 1},
+		"a pause while the probe is in flight": {refresh: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				convey.Convey("Its result says nothing about the store now", t, func() {
+					store := &heldStore{release: make(chan error)}
+					s := &sink{objects: map[string]string{}}
+					f := discovery.New(store, discovery.NewMirror(s), s, "small")
+					f.SetReading(true)
+					ctx, cancel := context.WithCancel(t.Context())
+					done := make(chan struct{})
+					go func() {
+						defer close(done)
+						f.Run(ctx)
+					}()
+					synctest.Wait()
+					if c.refresh {
+						f.Refresh()
+					}
+					store.release <- nil
+					synctest.Wait()
+					_, reached := s.storeReports()
+					convey.So(reached, convey.ShouldEqual, c.reached)
+					convey.So(f.IsReading(), convey.ShouldEqual, !c.refresh)
+					cancel()
+					close(store.release)
+					<-done
+				})
+			})
+		})
+	}
+}
--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -44,6 +45,7 @@
 
 	objects    map[string]platform.Object
 	tombstones map[string]platform.Revision
+	forgotten  platform.Revision // tombstones up to this revision may have been dropped
 	log        []platform.Event
 	logStart   platform.Revision // the log holds all changes after this revision
 	at         platform.Revision // all changes up to this revision are known
@@ -185,17 +187,17 @@
 	if known, ok := c.objects[name]; ok {
 		return e.Object.Revision > known.Revision || e.Removed && e.Object.Revision == known.Revision
 	}
-	return !e.Removed && e.Object.Revision > c.tombstones[name]
+	return !e.Removed && e.Object.Revision > max(c.tombstones[name], c.forgotten)
 }
 
 func (c *collection) apply(e platform.Event) {
 	name := e.Object.Name
 	if e.Removed {
 		delete(c.objects, name)
-		if len(c.tombstones) >= maxTombstones {
-			clear(c.tombstones)
-		}
 		c.tombstones[name] = e.Object.Revision
+		if len(c.tombstones) > maxTombstones {
+			c.forgetTombstones()
+		}
 	} else {
 		delete(c.tombstones, name)
 		c.objects[name] = e.Object
@@ -207,6 +209,15 @@
 	}
 }
 
+// forgetTombstones drops the older half of the tombstones. A change up to their revisions
+// of an object that isn't known is ignored from then on: the copy is complete, so the object
+// has been removed.
+func (c *collection) forgetTombstones() {
+	revisions := slices.Sorted(maps.Values(c.tombstones))
+	c.forgotten = max(c.forgotten, revisions[len(revisions)/2])
+	maps.DeleteFunc(c.tombstones, func(_ string, at platform.Revision) bool { return at <= c.forgotten })
+}
+
 // At returns the revision up to which all changes of a collection are known, or 0
 // if the copy is incomplete.
 func (m *Mirror) At(kind platform.Collection) platform.Revision {
--- a/discovery/mirror_test.go
+++ b/discovery/mirror_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -122,7 +121,7 @@
 		for i := range sources {
 			sources[i].ApplyChanges(things, platform.Changes{Events: h.events[known[i]:], At: platform.Revision(2*len(h.events) + 1)})
 		}
-		sendBatch(rand.IntN(2))
+		sendBatch(rapid.IntRange(0, 1).Draw(rt, "last feed"))
 		want := map[string]string{}
 		for name, o := range h.states[len(h.states)-1] {
 			want[name] = string(o.Spec)
@@ -149,3 +148,29 @@
 		m.Receive(discovery.Batch{Kind: "unknown", Full: true})
 	})
 }
+
+// TestManyRemovedObjectsStayRemoved removes more objects than a mirror keeps tombstones of.
+// Changes from before their removal arrive late, as from a process that was paused.
+func TestManyRemovedObjectsStayRemoved(t *testing.T) {
+	const count = 10_000
+	convey.Convey("A late change restores none of them, and new objects are accepted", t, func() {
+		receiver := &sink{objects: map[string]string{}}
+		m := discovery.NewMirror(receiver, things)
+		m.ApplyListing(things, platform.Listing{At: 1})
+		var created []platform.Event
+		at := platform.Revision(1)
+		for i := range count {
+			at++
+			created = append(created, platform.Event{Object: object(fmt.Sprint(i), at)})
+		}
+		m.ApplyChanges(things, platform.Changes{Events: created, At: at})
+		for i := range count {
+			at++
+			m.ApplyChanges(things, platform.Changes{Events: []platform.Event{{Object: object(fmt.Sprint(i), at), Removed: true}}, At: at})
+		}
+		m.ApplyChanges(things, platform.Changes{Events: created, At: created[count-1].Object.Revision})
+		convey.So(receiver.objects, convey.ShouldBeEmpty)
+		m.ApplyChanges(things, platform.Changes{Events: []platform.Event{{Object: object("new", at+1)}, {Object: object("7", at+2)}}, At: at + 2})
+		convey.So(receiver.objects, convey.ShouldHaveLength, 2)
+	})
+}
