endpoint, retry: old load reports don't count again, slack doesn't either

Cause: a load report was weighed against the estimate that had decayed, and added to the one that had not: after a report of ten requests and, a minute later, one of none, the estimate was ten again. A changed window of the retry budget dropped the counts, but kept the whole slack.

Measured: TestOldLoadReportsDoNotCount (two of four cases), TestSlackAfterChangedBounds (three of four) fail before.

--- a/endpoint/choose_test.go
+++ b/endpoint/choose_test.go
@@ -233,3 +233,28 @@
 		convey.So(table.Start(epoch, c), convey.ShouldBeFalse)
 	})
 }
+
+func TestOldLoadReportsDoNotCount(t *testing.T) {
+	cases := map[string]struct {
+		pause  time.Duration // between a report of ten requests and the next one
+		total  int           // requests in the next report
+		lowest float64
+		most   float64
+	}{
+		"none much later":    {pause: time.Minute, total: 0, most: 0.1},
+		"some much later":    {pause: time.Minute, total: 4, lowest: 1.9, most: 2.1},
+		"none soon after":    {pause: time.Millisecond, total: 0, lowest: 4.9, most: 5.1},
+		"as many soon after": {pause: time.Millisecond, total: 10, lowest: 9.9, most: 10.1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("The estimate starts from what is left of the last one", t, func() {
+				var l load
+				l.recordReport(epoch, 10, 0)
+				now := epoch.Add(c.pause)
+				l.recordReport(now, c.total, 0)
+				convey.So(l.decayed(now), convey.ShouldBeBetweenOrEqual, c.lowest, c.most)
+			})
+		})
+	}
+}
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -52,7 +52,8 @@
 	if l.reportedAt.IsZero() {
 		l.otherRequests = others
 	} else {
-		l.otherRequests += reportWeight * (others - l.decayed(now))
+		last := l.decayed(now)
+		l.otherRequests = last + reportWeight*(others-last)
 	}
 	l.reportedAt = now
 }
--- a/node/reload.go
+++ b/node/reload.go
@@ -2,7 +2,11 @@
 
 // Reload of settings at run time.
 
-import "k8s.io/klog/v2"
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
 
 // Reload applies the bounds of changed settings. All other settings, such as addresses,
 // take effect when the process restarts.
@@ -11,7 +15,7 @@
 	next := *old
 	next.Bounds = s.Bounds
 	n.settings.Store(&next)
-	n.retries.SetBounds(s.Bounds.retryBounds())
+	n.retries.SetBounds(time.Now(), s.Bounds.retryBounds())
 	n.endpoints.SetBounds(s.Bounds.endpointBounds())
 	klog.InfoS("reload", "cause", cause, "bounds", old.Bounds != s.Bounds, "restart", needsRestart(*old, s))
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -120,9 +120,14 @@
 	return requests, retries
 }
 
-// SetBounds replaces the bounds of the budget.
-func (b *Budget) SetBounds(bounds Bounds) {
+// SetBounds replaces the bounds of the budget. With a different window, the counts so far
+// are lost, so the slack grows from zero again, as in a new process.
+func (b *Budget) SetBounds(now time.Time, bounds Bounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if bounds.Window != b.bounds.Window {
+		b.started = now
+		clear(b.services)
+	}
 	b.bounds = bounds
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -96,3 +96,36 @@
 		})
 	}
 }
+
+func TestSlackAfterChangedBounds(t *testing.T) {
+	cases := map[string]struct {
+		window time.Duration
+		after  time.Duration // since the change
+		want   int
+	}{
+		"same window":                         {window: bounds.Window, want: 0},
+		"other window":                        {window: 2 * bounds.Window, want: 0},
+		"other window, half of it later":      {window: 2 * bounds.Window, after: bounds.Window, want: 17},
+		"other window, the whole of it later": {window: 2 * bounds.Window, after: 2 * bounds.Window, want: 35},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Retries that were counted in the previous window are not allowed again", t, func() {
+				now := time.Unix(1_700_000_000, 0)
+				b := retry.New(bounds, now)
+				now = now.Add(bounds.Window)
+				for b.AllowRetry(now, "s") {
+				}
+				changed := bounds
+				changed.Window = c.window
+				b.SetBounds(now, changed)
+				now = now.Add(c.after)
+				taken := 0
+				for b.AllowRetry(now, "s") {
+					taken++
+				}
+				convey.So(taken, convey.ShouldEqual, c.want)
+			})
+		})
+	}
+}
