configuration, caller, cmd, standin: outcomes are told as they are

- A drain whose write may take effect later was reported as failed; it is uncertain.
- A caller that gives up no longer marks the address that it waited for as failed.
- The stand-in's network lets a killed VM listen no more.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -107,8 +107,11 @@
 			c.store(found) // in a random order, so that callers use all of them
 			return c.prioritize(found.Entries), nil
 		}
-		c.markFailed(address)
 		last = err
+		if ctx.Err() != nil {
+			break // the caller gave up, which says nothing about the address
+		}
+		c.markFailed(address)
 	}
 	return nil, &Error{Op: "lookup", Kind: KindLookup, Err: last}
 }
@@ -198,8 +201,11 @@
 			return r, nil
 		}
 		last = err
+		if ctx.Err() != nil {
+			break // the caller gave up, which says nothing about the address
+		}
 		c.markFailed(address)
-		if ctx.Err() != nil || !op.Idempotent && !IsUnsent(err) {
+		if !op.Idempotent && !IsUnsent(err) {
 			break
 		}
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -88,3 +89,44 @@
 		})
 	}
 }
+
+// TestCallerThatGivesUpBlamesNoAddress cancels a call and a lookup that wait for a response.
+func TestCallerThatGivesUpBlamesNoAddress(t *testing.T) {
+	cases := map[string]struct {
+		cached bool // the entry VMs are known, so that the call waits, not the lookup
+	}{
+		"during the call":   {cached: true},
+		"during the lookup": {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("The address is not avoided afterwards", t, func() {
+				release := make(chan struct{})
+				defer close(release)
+				waiting := make(chan struct{}, 1)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				convey.So(err, convey.ShouldBeNil)
+				defer func() { _ = l.Close() }()
+				go func() {
+					_ = http.Serve(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+						waiting <- struct{}{}
+						<-release
+					}))
+				}()
+				address := l.Addr().String()
+				client := New(Options{Nodes: []string{address}})
+				if c.cached {
+					client.store(LookupResponse{Entries: []string{address}, TTL: 60})
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					<-waiting
+					cancel()
+				}()
+				_, err = client.Call(ctx, Operation{Method: http.MethodGet, Path: "/", Idempotent: true})
+				convey.So(err, convey.ShouldNotBeNil)
+				convey.So(client.failedUntil, convey.ShouldBeEmpty)
+			})
+		})
+	}
+}
--- a/cmd/wasabiwheel/operate.go
+++ b/cmd/wasabiwheel/operate.go
@@ -77,6 +77,7 @@
 	}
 	before := current.Configuration
 	result := publishResult{Version: before.Version, Difference: inventory.DiffConfigurations(before, inv.Configuration(before.Version+1))}
+	var waitErr error
 	if !dryRun {
 		release, err := manager.Publish(ctx, change)
 		if err != nil {
@@ -85,12 +86,16 @@
 		result.Version, result.Accepted = release.Version, true
 	}
 	if f.Wait && result.Accepted {
-		nodes := awaitRollout(ctx, f.Platform, result.Version)
+		nodes, err := awaitRollout(ctx, f.Platform, result.Version)
+		waitErr = err
 		result.Nodes = &nodes
 	}
 	if err := f.print(result); err != nil {
 		return err
 	}
+	if waitErr != nil {
+		return waitErr
+	}
 	if result.Nodes != nil {
 		return result.Nodes.checkInForce(result.Version)
 	}
--- a/cmd/wasabiwheel/operate_test.go
+++ b/cmd/wasabiwheel/operate_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"os/exec"
 	"strings"
@@ -12,6 +13,8 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/member"
+	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
 // commandResult is the exit code and the output of a command.
@@ -75,3 +78,25 @@
 		convey.So(r.Outcomes["ran"], convey.ShouldEqual, r.Sent)
 	})
 }
+
+// TestCommandsWithSilentNodes registers nodes that do not respond, and reads from a store
+// that does not.
+func TestCommandsWithSilentNodes(t *testing.T) {
+	d := startDeployment(t)
+	convey.Convey("Each node that responds is shown, and what failed is told", t, func() {
+		store := platform.New(platform.Options{Address: storeAddress})
+		silent := member.Entry{ID: "a-silent", Domain: "centro-a", Region: "centro", AdminAddress: "127.0.0.1:1"}
+		_, err := store.Create(t.Context(), platform.Entries, string(silent.ID), silent)
+		convey.So(err, convey.ShouldBeNil)
+		got := runCommand("status", "--platform", storeAddress)
+		convey.So(got.code, convey.ShouldEqual, exitFailed)
+		convey.So(got.errors, convey.ShouldContainSubstring, "127.0.0.1:1")
+		for _, e := range d.inv.Entries {
+			convey.So(got.out, convey.ShouldContainSubstring, string(e.ID))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = awaitRollout(ctx, "127.0.0.1:1", 1)
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
--- a/cmd/wasabiwheel/query.go
+++ b/cmd/wasabiwheel/query.go
@@ -52,21 +52,26 @@
 	JSON     bool     `long:"json" description:"print JSON, one line per node"`
 }
 
-// Execute prints the status of each node.
+// Execute prints the status of each node that responds. It fails if a node does not.
 func (c *statusCommand) Execute([]string) error {
 	admins, err := c.addresses()
 	if err != nil {
 		return err
 	}
+	var silent error
 	for _, a := range admins {
 		s, err := node.FetchStatus(a, queryTimeout)
 		if err != nil {
-			return err
+			silent = errors.CombineErrors(silent, errors.Wrapf(err, "node at %s", a))
+			continue
 		}
 		if err := c.print(s); err != nil {
 			return err
 		}
 	}
+	if silent != nil {
+		return &Error{Op: "status", Kind: KindNetwork, Err: silent}
+	}
 	return nil
 }
 
--- a/cmd/wasabiwheel/rollout.go
+++ b/cmd/wasabiwheel/rollout.go
@@ -46,22 +46,23 @@
 }
 
 // awaitRollout polls all nodes until one has the version in force and no responding
-// node has an older one, or ctx ends.
-func awaitRollout(ctx context.Context, address string, v inventory.Version) rollout {
+// node has an older one, or ctx ends. The error is that of the last attempt to read the
+// list of nodes.
+func awaitRollout(ctx context.Context, address string, v inventory.Version) (rollout, error) {
 	for {
-		r := queryRollout(ctx, address, v)
+		r, err := queryRollout(ctx, address, v)
 		if len(r.Pending) == 0 && len(r.InForce) > 0 || ctx.Err() != nil {
-			return r
+			return r, err
 		}
 		time.Sleep(rolloutPollInterval)
 	}
 }
 
-// queryRollout queries all nodes once.
-func queryRollout(ctx context.Context, address string, v inventory.Version) rollout {
+// queryRollout queries all nodes once. It fails if the list of nodes cannot be read.
+func queryRollout(ctx context.Context, address string, v inventory.Version) (rollout, error) {
 	entries, err := readEntries(ctx, address)
 	if err != nil {
-		return rollout{}
+		return rollout{}, &Error{Op: "wait", Kind: KindNetwork, Err: errors.Wrap(err, "the nodes cannot be read from the store")}
 	}
 	var (
 		mu sync.Mutex
@@ -87,7 +88,7 @@
 	for _, ids := range [][]inventory.EntryID{r.InForce, r.Pending, r.Unreachable} {
 		slices.Sort(ids)
 	}
-	return r
+	return r, nil
 }
 
 func (r rollout) print(v inventory.Version) {
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -245,9 +245,9 @@
 }
 
 // Drain stops new requests to the endpoints of a failure domain. It fails with
-// KindStore.
+// KindStore, or with KindUncertain.
 func (m *Manager) Drain(ctx context.Context, id inventory.DomainID) error {
-	return m.do(ctx, "drain", func() error {
+	return m.change(ctx, "drain", func() error {
 		_, err := m.store.Create(ctx, platform.Drains, string(id), struct{}{})
 		if platform.IsKind(err, platform.KindConflict) {
 			return nil // already drained
@@ -256,9 +256,10 @@
 	})
 }
 
-// Undrain removes the drain of a failure domain. It fails with KindStore.
+// Undrain removes the drain of a failure domain. It fails with KindStore, or with
+// KindUncertain.
 func (m *Manager) Undrain(ctx context.Context, id inventory.DomainID) error {
-	return m.do(ctx, "undrain", func() error { return m.store.Delete(ctx, platform.Drains, string(id)) })
+	return m.change(ctx, "undrain", func() error { return m.store.Delete(ctx, platform.Drains, string(id)) })
 }
 
 // Drained returns the failure domains that are drained. It fails with KindStore.
@@ -275,7 +276,24 @@
 	return all, err
 }
 
-// do retries a call and wraps its error.
+// change retries a write and wraps its error. If the response to an attempt was lost, the
+// write may have taken effect or may do so later, whatever later attempts returned.
+func (m *Manager) change(ctx context.Context, op string, call func() error) error {
+	kind := KindStore
+	err := m.retry(ctx, func() error {
+		err := call()
+		if platform.IsKind(err, platform.KindUncertain) {
+			kind = KindUncertain
+		}
+		return err
+	})
+	if err != nil {
+		return &Error{Op: op, Kind: kind, Err: err}
+	}
+	return nil
+}
+
+// do retries a read and wraps its error.
 func (m *Manager) do(ctx context.Context, op string, call func() error) error {
 	if err := m.retry(ctx, call); err != nil {
 		return &Error{Op: op, Kind: KindStore, Err: err}
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -117,3 +117,32 @@
 		})
 	})
 }
+
+func TestResultsOfDrains(t *testing.T) {
+	cases := map[string]struct {
+		fault   standin.Fault
+		kind    configuration.Kind
+		drained bool // in the end
+	}{
+		"done":               {drained: true},
+		"all writes delayed": {fault: standin.Fault{LateWrite: 1000, LateBy: 9 * time.Second}, kind: configuration.KindUncertain, drained: true},
+		"permanently down":   {fault: standin.Fault{Down: true}, kind: configuration.KindStore},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				convey.Convey("A drain that may take effect is not reported as failed", t, func() {
+					r.platform.SetFault(c.fault)
+					ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+					defer cancel()
+					convey.So(kindOf(r.newManager().Drain(ctx, "norte-a")), convey.ShouldEqual, c.kind)
+					time.Sleep(20 * time.Second)
+					r.platform.SetFault(standin.Fault{})
+					drained, err := r.newManager().Drained(r.t.Context())
+					convey.So(err, convey.ShouldBeNil)
+					convey.So(len(drained) == 1, convey.ShouldEqual, c.drained)
+				})
+			})
+		})
+	}
+}
--- a/standin/network.go
+++ b/standin/network.go
@@ -164,6 +164,9 @@
 	n := v.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.kills[v.ip] != v.killsAtStart {
+		return nil, &net.OpError{Op: "listen", Net: network, Err: net.ErrClosed}
+	}
 	if _, taken := n.listeners[address]; taken {
 		return nil, &net.OpError{Op: "listen", Net: network, Err: syscall.EADDRINUSE}
 	}
