--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -23,11 +23,11 @@
 type Replica struct {
 	_        struct{} `cbor:",toarray"`
 	Object   Object
-	Endpoint EndpointHash
+	Endpoint Hash
 }
 
-// EndpointHash is the hash of an endpoint's id.
-type EndpointHash uint64
+// Hash is the hash of the id of an endpoint.
+type Hash uint64
 
 // ReplicaPosition is a position in a node's sequence of replicas. The zero value is its start.
 type ReplicaPosition uint64
@@ -75,5 +75,5 @@
 
 // recordReplica adds a replica that a request of this node has created to the log.
 func (t *Table) recordReplica(o Object, s *endpointState) {
-	t.replicas.append(Replica{Object: o, Endpoint: EndpointHash(s.hash)})
+	t.replicas.append(Replica{Object: o, Endpoint: Hash(s.hash)})
 }
--- a/endpoint/gossip_test.go
+++ b/endpoint/gossip_test.go
@@ -60,7 +60,7 @@
 			tables[i+1].LearnReplicas(told)
 		}
 		told, at := tables[2].NewReplicas(at)
-		convey.So(told, convey.ShouldResemble, []Replica{{Object: 7, Endpoint: EndpointHash(c.state.hash)}})
+		convey.So(told, convey.ShouldResemble, []Replica{{Object: 7, Endpoint: Hash(c.state.hash)}})
 		told, _ = tables[2].NewReplicas(at)
 		convey.So(told, convey.ShouldBeEmpty)
 		s := tables[2].byID[c.Endpoint.ID]
@@ -109,7 +109,7 @@
 		table, other := topo.table(), topo.table()
 		c := spill(other, 7)
 		told, _ := other.NewReplicas(0)
-		table.LearnReplicas(append(told, Replica{Object: 8, Endpoint: 1}, Replica{Endpoint: EndpointHash(c.state.hash)}))
+		table.LearnReplicas(append(told, Replica{Object: 8, Endpoint: 1}, Replica{Endpoint: Hash(c.state.hash)}))
 		e := c.Endpoint
 		e.Start = epoch
 		table.Register(epoch, e) // a new process
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -50,7 +50,7 @@
 
 	mu             sync.Mutex
 	byID           map[inventory.EndpointID]*endpointState
-	byHash         map[EndpointHash]*endpointState
+	byHash         map[Hash]*endpointState
 	services       map[inventory.ServiceID]*pool
 	drained        map[inventory.DomainID]bool
 	serviceTimes   map[inventory.RouteID]*serviceTimes
@@ -98,7 +98,7 @@
 		bounds:       b,
 		regions:      regions,
 		byID:         map[inventory.EndpointID]*endpointState{},
-		byHash:       map[EndpointHash]*endpointState{},
+		byHash:       map[Hash]*endpointState{},
 		services:     map[inventory.ServiceID]*pool{},
 		drained:      map[inventory.DomainID]bool{},
 		serviceTimes: map[inventory.RouteID]*serviceTimes{},
@@ -151,7 +151,7 @@
 	p := t.pool(e.Service)
 	s := &endpointState{Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), pool: p}
 	t.byID[e.ID] = s
-	t.byHash[EndpointHash(s.hash)] = s
+	t.byHash[Hash(s.hash)] = s
 	i, _ := slices.BinarySearchFunc(p.endpoints, s, compareStates)
 	p.endpoints = slices.Insert(p.endpoints, i, s)
 	return s
@@ -164,7 +164,7 @@
 		return
 	}
 	delete(t.byID, s.ID)
-	delete(t.byHash, EndpointHash(s.hash))
+	delete(t.byHash, Hash(s.hash))
 	p := s.pool
 	if i, ok := slices.BinarySearchFunc(p.endpoints, s, compareStates); ok {
 		p.endpoints = slices.Delete(p.endpoints, i, i+1)
