endpoint, node: a request rejected by a free endpoint is sent there once more

Each rejected request was sent to the next endpoint by hashing, which was taken for warm since it was the first of the rest: it ran cold there, three times as long, answered late, and took the slots of other requests.

Change: a rejection with free slots doesn't exclude the endpoint for this request; its failure score decides, so that after some rejections a cold run elsewhere costs less. After an attempt at the primary endpoint the others are not taken for warm, as long as other nodes still use the primary one.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	noPrimary         = -1  // rank of a primary endpoint that is no candidate
 	maxCandidates     = 4   // endpoints compared for one request
 	failureCostFactor = 2.0 // cost of a certain failure, in objectives
 	// coldCostFactor weights the service time that a request needs beyond that of a warm
@@ -55,6 +56,14 @@
 	Tried     []inventory.EndpointID // excluded from the choice
 }
 
+// key returns what the endpoints are ranked by.
+func (q Query) key() uint64 {
+	if q.Object == 0 {
+		return q.Seed
+	}
+	return uint64(q.Object)
+}
+
 // Choice is an endpoint for a request, with the estimates behind the choice.
 type Choice struct {
 	Endpoint   inventory.Endpoint
@@ -124,7 +133,7 @@
 	}
 	best = t.preferLocal(now, p, q, best)
 	var chosen, primary estimate
-	primaryRank := rankOfPrimary(now, best)
+	primaryRank := t.rankOfPrimary(now, q, best)
 	rank, lowest := 0, math.Inf(1)
 	for i, cand := range best {
 		e := t.estimate(now, p, q, cand.state, i == primaryRank)
@@ -148,8 +157,16 @@
 
 // rankOfPrimary returns the rank of the endpoint that is expected to have served the object
 // before. That is the first one, unless it has just started: then its objects were served by
-// the next one that has not.
-func rankOfPrimary(now time.Time, best []candidate) int {
+// the next one that has not. The rank is noPrimary if this request was tried there.
+func (t *Table) rankOfPrimary(now time.Time, q Query, best []candidate) int {
+	tried := q.Tried
+	q.Tried = nil
+	for _, id := range tried {
+		s := t.byID[id]
+		if s != nil && s.Service == q.Service && t.exclusion(now, s, q) == "" && score(unitHash(q.key(), s), s) > best[0].score {
+			return noPrimary
+		}
+	}
 	for i, cand := range best {
 		if !cand.state.warmup.active(now) {
 			return i
@@ -161,10 +178,7 @@
 // rank returns the usable endpoints with the highest scores, in descending order. If there
 // are none, it returns the reason.
 func (t *Table) rank(now time.Time, p *pool, q Query) (best []candidate, reason Reason) {
-	key := uint64(q.Object)
-	if key == 0 {
-		key = q.Seed
-	}
+	key := q.key()
 	best = make([]candidate, 0, maxCandidates+1)
 	for _, s := range p.endpoints {
 		u := unitHash(key, s)
--- a/endpoint/gossip_test.go
+++ b/endpoint/gossip_test.go
@@ -41,7 +41,6 @@
 	primary, _ := t.Choose(epoch, q)
 	q.Tried = append(q.Tried, primary.Endpoint.ID)
 	c, _ := t.Choose(epoch, q)
-	c.replica = true // the primary one is excluded for this request only
 	serve(t, epoch, c, 800*time.Millisecond)
 	return c
 }
--- a/endpoint/result.go
+++ b/endpoint/result.go
@@ -32,6 +32,13 @@
 	Running, Waiting, Slots int
 }
 
+// IsRejectionWithFreeSlots reports whether the endpoint rejected the request although it had
+// free slots. Such a rejection says nothing about the next request there, which still finds
+// the object cached, unless its failure score shows that the endpoint rejects many.
+func (r Result) IsRejectionWithFreeSlots() bool {
+	return r.Verdict == VerdictShed && r.Running+r.Waiting < r.Slots
+}
+
 // Start records that a request is about to be sent, and reports whether the choice is still
 // valid. If it is not, nothing is recorded and the request must not be sent.
 func (t *Table) Start(now time.Time, c Choice) bool {
--- a/endpoint/simulation_test.go
+++ b/endpoint/simulation_test.go
@@ -32,6 +32,7 @@
 	slowCount        int           // number of slow endpoints, the first ones
 	slowFactor       float64       // multiple of the service time of slow endpoints
 	slowFrom, slowTo time.Duration // when they are slow, since epoch
+	rejectShare      float64       // share of the requests that each endpoint rejects from slowFrom to slowTo, full or not
 
 	rng     *rand.Rand
 	tables  []*Table
@@ -75,15 +76,16 @@
 }
 
 type request struct {
-	object    Object
-	arrivedAt time.Time
-	node      int
-	choice    Choice
-	sentAt    time.Time
-	attempts  int
-	query     Query
-	done      bool     // the current attempt has ended
-	results   *results // where the request is counted
+	object     Object
+	arrivedAt  time.Time
+	node       int
+	choice     Choice
+	sentAt     time.Time
+	attempts   int
+	query      Query
+	done       bool     // the current attempt has ended
+	repeatable bool     // the last attempt may be repeated at the same endpoint
+	results    *results // where the request is counted
 }
 
 func (sim *simulation) after(now time.Time, d time.Duration, do func(now time.Time)) {
@@ -172,7 +174,9 @@
 	}
 	req.choice, req.sentAt, req.done, req.attempts = c, now, false, req.attempts+1
 	s := sim.servers[string(c.Endpoint.ID)]
-	if s.running == s.slots && len(s.queue) == simQueue {
+	since := now.Sub(epoch)
+	rejects := since >= sim.slowFrom && since < sim.slowTo && sim.rng.Float64() < sim.rejectShare
+	if rejects || s.running == s.slots && len(s.queue) == simQueue {
 		sim.finish(now, req, s, VerdictShed)
 		sim.retry(now, req)
 		return
@@ -197,7 +201,9 @@
 		req.results.rejected++
 		return
 	}
-	req.query.Tried = append(req.query.Tried, req.choice.Endpoint.ID)
+	if !req.repeatable {
+		req.query.Tried = append(req.query.Tried, req.choice.Endpoint.ID)
+	}
 	sim.send(now, req)
 }
 
@@ -208,6 +214,7 @@
 		r.Running, r.Waiting, r.Slots = s.running, len(s.queue), s.slots
 	}
 	sim.tables[req.node].Finish(now, req.choice, r)
+	req.repeatable = r.IsRejectionWithFreeSlots()
 }
 
 // serve runs a request at an endpoint. It runs to its end even if it has timed out.
--- a/node/request.go
+++ b/node/request.go
@@ -55,6 +55,7 @@
 	expectedWait time.Duration // for a slot
 	expectedRun  time.Duration // of transfer and work
 	took         time.Duration
+	repeatable   bool // the request may be sent to the endpoint again
 }
 
 // newAttempt returns the log entry of an attempt at a chosen endpoint.
@@ -119,10 +120,13 @@
 	return context.WithDeadline(ctx, req.deadline)
 }
 
+// triedEndpoints returns the endpoints to which the request may not be sent again.
 func (req *request) triedEndpoints() []inventory.EndpointID {
 	var ids []inventory.EndpointID
 	for _, a := range req.attempts {
-		ids = append(ids, a.endpoint)
+		if !a.repeatable {
+			ids = append(ids, a.endpoint)
+		}
 	}
 	return ids
 }
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -359,3 +359,39 @@
 		})
 	}
 }
+
+// TestRequestRejectedByFreeEndpoint lets the endpoint that has an object cached reject all
+// requests although it has free slots.
+func TestRequestRejectedByFreeEndpoint(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		convey.Convey("A request is sent there once more, since it is cold elsewhere, but not forever", t, func() {
+			h.warmUp()
+			send := func() testResponse { return h.send(h.t.Context(), "n1", testRequest{object: "a"}) }
+			for range 3 {
+				convey.So(send().status, convey.ShouldEqual, http.StatusOK)
+			}
+			before := map[inventory.EndpointID]int{}
+			for id, target := range h.targets {
+				before[id] = target.Stats().Served
+			}
+			convey.So(send().status, convey.ShouldEqual, http.StatusOK)
+			var primary *testTarget
+			for id, target := range h.targets {
+				if target.Stats().Served > before[id] {
+					primary = target
+				}
+			}
+			primary.SetBehaviour(standin.Behaviour{Shed: true, Slots: primary.endpoint.Slots})
+			resp := send()
+			convey.So(resp.outcome, convey.ShouldEqual, caller.OutcomeNotRun)
+			convey.So(primary.Stats().Shed, convey.ShouldEqual, 2)
+			served := 0
+			for range 10 {
+				if send().status == http.StatusOK {
+					served++
+				}
+			}
+			convey.So(served, convey.ShouldBeGreaterThanOrEqualTo, 8)
+		})
+	})
+}
--- a/node/steer.go
+++ b/node/steer.go
@@ -148,8 +148,9 @@
 	if failed == nil && endpointResponse.DialTime > 0 {
 		n.endpoints.RecordRoundTrip(c, endpointResponse.DialTime)
 	}
-	n.endpoints.Finish(now, c, resultOf(endpointResponse, failed, now.Sub(start)-endpointResponse.DialTime))
-	n.recordAttempt(req, c, failed, now.Sub(start))
+	result := resultOf(endpointResponse, failed, now.Sub(start)-endpointResponse.DialTime)
+	n.endpoints.Finish(now, c, result)
+	n.recordAttempt(req, c, failed, now.Sub(start), result.IsRejectionWithFreeSlots())
 	switch {
 	case failed == nil:
 		return ran(endpointResponse), false
@@ -172,7 +173,7 @@
 }
 
 // recordAttempt records an attempt for the log, and reports a dead connection to the pool.
-func (n *Node) recordAttempt(req *request, c endpoint.Choice, failed *exchange.Error, took time.Duration) {
+func (n *Node) recordAttempt(req *request, c endpoint.Choice, failed *exchange.Error, took time.Duration, repeatable bool) {
 	result := "answered"
 	if failed != nil {
 		result = string(failed.Kind)
@@ -182,6 +183,7 @@
 	}
 	n.metrics.increment("attempt." + result)
 	a := newAttempt(c, result, took)
+	a.repeatable = repeatable
 	if failed != nil && failed.Err != nil {
 		a.cause = failed.Err.Error()
 	}
