endpoint: nodes tell each other which endpoints are full

Change: load reports of endpoints without a free slot are told to the neighbours and passed on, at most 32 a message, 200 ms after the last; their age counts. Under low load there are none. Choice and admission use them like a node's own reports.

TestOverloadOnManyNodes fails before.

--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -1,24 +1,48 @@
 package endpoint
 
-// Replicas that other nodes created. Under high load, requests for an object that would wait
-// at its primary endpoint are sent to the next ones, which then have the object cached, too.
-// A node knows only its own requests: with many nodes, each of them sees too few to know
-// these replicas, and sends requests to wait, or to be rejected, while a warm endpoint is
-// free. Nodes therefore tell their neighbours about new replicas, and these pass them on.
+// What nodes tell each other about endpoints. A node knows only its own requests: with many
+// nodes, each of them sees too few to know the state of the endpoints under high load.
 //
-// A replica is told once and passed on by each node that did not know it, so the messages
-// grow with the number of replicas, not with that of requests. The log of each node and each
-// message are bounded; what exceeds the bounds is lost, and found out by requests.
+// Replicas: requests for an object that would wait at its primary endpoint are sent to the
+// next ones, which then have the object cached, too. A node that does not know them sends
+// requests to wait, or to be rejected, while a warm endpoint is free. A replica is told once,
+// so the messages grow with the number of replicas, not with that of requests.
+//
+// Full endpoints: a node that does not know that an endpoint is full sends it a request that
+// waits until it times out, where it could be sent elsewhere, or be rejected at once. Since
+// the work on requests that time out is wasted, an overload would sustain itself. Only reports
+// of endpoints without a free slot are told, so there are none under low load.
+//
+// Both are told to neighbours, and passed on by nodes to which they are new. The logs of a
+// node and its messages are bounded; what exceeds the bounds is lost, and found out by
+// requests.
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	maxReplicaLog = 256 // replicas that a node keeps to tell its neighbours
-	// maxReplicasTold bounds a message: about 20 bytes each, twice a second for each
-	// neighbour, which is a fraction of a node's budget for control traffic.
-	maxReplicasTold = 32
+	maxGossipLog = 256 // replicas, and reports, that a node keeps to tell its neighbours
+	// maxGossipTold bounds the replicas and the reports of a message: less than 20 bytes each,
+	// so that messages to eight neighbours each GossipInterval stay within a node's budget for
+	// control traffic.
+	maxGossipTold = 32
+	// minReportAge is the age of a known report from which a newer one of the same endpoint is
+	// told. It is shorter than the time constant of the decay of reports.
+	minReportAge = 250 * time.Millisecond
+	maxReportAge = 2 * time.Second // after which a report is not told any more
 )
 
+// GossipInterval is the time between two messages while endpoints are full.
+const GossipInterval = 200 * time.Millisecond
+
+// Gossip is a message of one node to another.
+type Gossip struct {
+	Replicas []Replica    `cbor:"copies,omitempty"`
+	Full     []LoadReport `cbor:"full,omitempty"`
+}
+
 // Replica is an endpoint other than an object's primary one that has the object cached.
 type Replica struct {
 	_        struct{} `cbor:",toarray"`
@@ -26,44 +50,105 @@
 	Endpoint Hash
 }
 
+// LoadReport is the number of requests, running or waiting, at an endpoint without a free
+// slot, a time ago.
+type LoadReport struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint Hash
+	Requests int
+	Age      int64 // in milliseconds
+}
+
 // Hash is the hash of the id of an endpoint.
 type Hash uint64
 
-// ReplicaPosition is a position in a node's sequence of replicas. The zero value is its start.
-type ReplicaPosition uint64
+// GossipPosition is what a node has been told of another one's log. The zero value: nothing.
+type GossipPosition struct{ replicas, reports uint64 }
 
 // replicaLog holds the latest replicas that a node has learned of.
 type replicaLog struct {
 	replicas []Replica
-	end      ReplicaPosition // after the last one
+	end      uint64 // position after the last one
 }
 
 func (l *replicaLog) append(r Replica) {
-	if len(l.replicas) == maxReplicaLog {
+	if len(l.replicas) == maxGossipLog {
 		l.replicas = slices.Delete(l.replicas, 0, 1)
 	}
 	l.replicas = append(l.replicas, r)
 	l.end++
 }
 
-// NewReplicas returns the replicas that follow a position, at most a message full, and the
-// position after them.
-func (t *Table) NewReplicas(after ReplicaPosition) ([]Replica, ReplicaPosition) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l := &t.replicas
-	start := l.end - ReplicaPosition(len(l.replicas))
+// since returns the replicas after a position, at most a message full, and the position
+// after them.
+func (l *replicaLog) since(after uint64) ([]Replica, uint64) {
+	start := l.end - uint64(len(l.replicas))
 	after = min(max(after, start), l.end)
-	end := min(after+maxReplicasTold, l.end)
+	end := min(after+maxGossipTold, l.end)
 	return slices.Clone(l.replicas[after-start : end-start]), end
 }
 
-// LearnReplicas records replicas that another node knows. Those that are new to this node
-// are passed on by NewReplicas. Replicas at unknown endpoints are ignored.
-func (t *Table) LearnReplicas(replicas []Replica) {
+// report is a load report of an endpoint that was full.
+type report struct {
+	endpoint Hash
+	requests int
+	at       time.Time
+}
+
+// reportLog holds the latest reports of full endpoints, one for each endpoint.
+type reportLog struct {
+	reports []report
+	end     uint64        // position after the last one
+	changed chan struct{} // closed and replaced when a report is added
+}
+
+func (l *reportLog) append(r report) {
+	if len(l.reports) == maxGossipLog {
+		l.reports = slices.Delete(l.reports, 0, 1)
+	}
+	l.reports = append(l.reports, r)
+	l.end++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// since returns the recent reports after a position, the newest ones if there are more than
+// a message can hold, and the position after them.
+func (l *reportLog) since(now time.Time, after uint64) ([]LoadReport, uint64) {
+	var told []LoadReport
+	start := l.end - uint64(len(l.reports))
+	for i := len(l.reports) - 1; i >= 0 && start+uint64(i) >= after && len(told) < maxGossipTold; i-- {
+		r := l.reports[i]
+		if age := now.Sub(r.at); age <= maxReportAge {
+			told = append(told, LoadReport{Endpoint: r.endpoint, Requests: r.requests, Age: age.Milliseconds()})
+		}
+	}
+	return told, l.end
+}
+
+// GossipSince returns what is new after a position, and the position after it.
+func (t *Table) GossipSince(now time.Time, after GossipPosition) (Gossip, GossipPosition) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var g Gossip
+	g.Replicas, after.replicas = t.replicas.since(after.replicas)
+	g.Full, after.reports = t.reports.since(now, after.reports)
+	return g, after
+}
+
+// NextReport returns a channel that is closed when a full endpoint has been reported.
+func (t *Table) NextReport() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports.changed
+}
+
+// Learn records what another node tells. What is new to this node is passed on. Unknown
+// endpoints are ignored.
+func (t *Table) Learn(now time.Time, g Gossip) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range replicas[:min(len(replicas), maxReplicasTold)] {
+	for _, r := range g.Replicas[:min(len(g.Replicas), maxGossipTold)] {
 		s := t.byHash[r.Endpoint]
 		if s == nil || r.Object == 0 || s.pool.locations.contains(r.Object, s) {
 			continue
@@ -71,9 +156,30 @@
 		s.pool.locations.learn(r.Object, s)
 		t.replicas.append(r)
 	}
+	for _, r := range g.Full[:min(len(g.Full), maxGossipTold)] {
+		s := t.byHash[r.Endpoint]
+		if s == nil || r.Requests < s.Slots || r.Age < 0 || r.Age > maxReportAge.Milliseconds() {
+			continue
+		}
+		at := now.Add(-time.Duration(r.Age) * time.Millisecond)
+		if s.load.reportedAt.Before(at) {
+			t.tellReport(s, r.Requests, at)
+			s.load.recordReport(at, r.Requests, s.inFlight)
+		}
+	}
 }
 
 // recordReplica adds a replica that a request of this node has created to the log.
 func (t *Table) recordReplica(o Object, s *endpointState) {
 	t.replicas.append(Replica{Object: o, Endpoint: Hash(s.hash)})
 }
+
+// tellReport adds a report to the log if the endpoint is full and the last report that was
+// told is not recent.
+func (t *Table) tellReport(s *endpointState, total int, at time.Time) {
+	if total < s.Slots || at.Sub(s.load.toldAt) < minReportAge {
+		return
+	}
+	s.load.toldAt = at
+	t.reports.append(report{endpoint: Hash(s.hash), requests: total, at: at})
+}
--- a/endpoint/gossip_test.go
+++ b/endpoint/gossip_test.go
@@ -51,17 +51,16 @@
 		tables := []*Table{topo.table(), topo.table(), topo.table()}
 		c := spill(tables[0], 7)
 		spill(tables[0], 7) // known by then
-		var at ReplicaPosition
 		for i := range 2 {
-			told, _ := tables[i].NewReplicas(0)
-			convey.So(told, convey.ShouldHaveLength, 1)
-			tables[i+1].LearnReplicas(told)
-			tables[i+1].LearnReplicas(told)
+			told, _ := tables[i].GossipSince(epoch, GossipPosition{})
+			convey.So(told.Replicas, convey.ShouldHaveLength, 1)
+			tables[i+1].Learn(epoch, told)
+			tables[i+1].Learn(epoch, told)
 		}
-		told, at := tables[2].NewReplicas(at)
-		convey.So(told, convey.ShouldResemble, []Replica{{Object: 7, Endpoint: Hash(c.state.hash)}})
-		told, _ = tables[2].NewReplicas(at)
-		convey.So(told, convey.ShouldBeEmpty)
+		told, at := tables[2].GossipSince(epoch, GossipPosition{})
+		convey.So(told.Replicas, convey.ShouldResemble, []Replica{{Object: 7, Endpoint: Hash(c.state.hash)}})
+		told, _ = tables[2].GossipSince(epoch, at)
+		convey.So(told.Replicas, convey.ShouldBeEmpty)
 		s := tables[2].byID[c.Endpoint.ID]
 		convey.So(s.pool.locations.contains(7, s), convey.ShouldBeTrue)
 	})
@@ -74,9 +73,9 @@
 		told     []int // in successive messages
 	}{
 		"none":                       {0, []int{0}},
-		"a message full":             {maxReplicasTold, []int{maxReplicasTold, 0}},
-		"several messages":           {2*maxReplicasTold + 1, []int{maxReplicasTold, maxReplicasTold, 1, 0}},
-		"more than the log can keep": {10 * maxReplicaLog, []int{maxReplicasTold, maxReplicasTold}},
+		"a message full":             {maxGossipTold, []int{maxGossipTold, 0}},
+		"several messages":           {2*maxGossipTold + 1, []int{maxGossipTold, maxGossipTold, 1, 0}},
+		"more than the log can keep": {10 * maxGossipLog, []int{maxGossipTold, maxGossipTold}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -85,14 +84,14 @@
 				for o := range Object(c.replicas) {
 					spill(table, o+1)
 				}
-				convey.So(len(table.replicas.replicas), convey.ShouldBeLessThanOrEqualTo, maxReplicaLog)
-				var at ReplicaPosition
+				convey.So(len(table.replicas.replicas), convey.ShouldBeLessThanOrEqualTo, maxGossipLog)
+				var at GossipPosition
 				seen := map[Object]bool{}
 				for _, want := range c.told {
-					var told []Replica
-					told, at = table.NewReplicas(at)
-					convey.So(told, convey.ShouldHaveLength, want)
-					for _, r := range told {
+					var told Gossip
+					told, at = table.GossipSince(epoch, at)
+					convey.So(told.Replicas, convey.ShouldHaveLength, want)
+					for _, r := range told.Replicas {
 						convey.So(seen[r.Object], convey.ShouldBeFalse)
 						seen[r.Object] = true
 					}
@@ -107,15 +106,98 @@
 		topo := topology{1, 1, 6, 3}
 		table, other := topo.table(), topo.table()
 		c := spill(other, 7)
-		told, _ := other.NewReplicas(0)
-		table.LearnReplicas(append(told, Replica{Object: 8, Endpoint: 1}, Replica{Endpoint: Hash(c.state.hash)}))
+		told, _ := other.GossipSince(epoch, GossipPosition{})
+		told.Replicas = append(told.Replicas, Replica{Object: 8, Endpoint: 1}, Replica{Endpoint: Hash(c.state.hash)})
+		table.Learn(epoch, told)
 		e := c.Endpoint
 		e.Start = epoch
 		table.Register(epoch, e) // a new process
 		s := table.byID[e.ID]
 		convey.So(s.pool.locations.contains(7, s), convey.ShouldBeFalse)
 		convey.So(s.pool.locations.contains(0, s), convey.ShouldBeFalse)
-		_, end := table.NewReplicas(0)
-		convey.So(end, convey.ShouldEqual, ReplicaPosition(1))
+		_, end := table.GossipSince(epoch, GossipPosition{})
+		convey.So(end, convey.ShouldResemble, GossipPosition{replicas: 1})
+	})
+}
+
+// TestOverloadOnManyNodes starts with objects cached nowhere, which is several times the
+// capacity, at a load that fits once they are cached. Callers give up soon and endpoints have
+// long queues, so an overload sustains itself if nodes send requests to full endpoints.
+func TestOverloadOnManyNodes(t *testing.T) {
+	answered := func(nodes int) float64 {
+		sim := simulation{
+			topology: topology{2, 2, 34, 4}, nodes: nodes, load: 0.75, warmup: 10 * time.Second, duration: 16 * time.Second, objects: 1059, cacheSize: 15,
+			uniform: true, neighbours: 6, admission: true, timeout: 1200 * time.Millisecond, queue: 12,
+		}
+		got := sim.run(1)
+		return float64(got.inTime) / float64(got.requests)
+	}
+	convey.Convey("On 76 nodes, no fewer requests are answered after ten seconds than on 3", t, func() {
+		convey.So(answered(76), convey.ShouldBeGreaterThanOrEqualTo, answered(3))
+	})
+}
+
+func TestReportsOfFullEndpoints(t *testing.T) {
+	topo := topology{1, 1, 6, 3}
+	cases := map[string]struct {
+		running, waiting int
+		pause            time.Duration // until the neighbour is told
+		told             int
+	}{
+		"free slots":  {running: 2},
+		"no free one": {running: 3, told: 1},
+		"queue":       {running: 3, waiting: 5, told: 1},
+		"told late":   {running: 3, waiting: 5, pause: time.Second, told: 1},
+		"too late":    {running: 3, waiting: 5, pause: 3 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("They reach nodes that are no neighbours, with their age", t, func() {
+				tables := []*Table{topo.table(), topo.table(), topo.table()}
+				changed := tables[0].NextReport()
+				choice, _ := tables[0].Choose(epoch, query(7))
+				for range 3 { // more often than is told
+					tables[0].Start(epoch, choice)
+					tables[0].Finish(epoch, choice, Result{Verdict: VerdictServed, Running: c.running, Waiting: c.waiting, Slots: 3})
+				}
+				convey.So(isClosed(changed), convey.ShouldEqual, c.running == 3)
+				now := epoch.Add(c.pause)
+				var told Gossip
+				for i := range 2 {
+					told, _ = tables[i].GossipSince(now, GossipPosition{})
+					convey.So(told.Full, convey.ShouldHaveLength, c.told)
+					tables[i+1].Learn(now, told)
+				}
+				s := tables[2].byID[choice.Endpoint.ID]
+				if c.told == 0 {
+					convey.So(s.requests(now), convey.ShouldEqual, 0)
+					return
+				}
+				convey.So(told.Full[0].Age, convey.ShouldEqual, c.pause.Milliseconds())
+				convey.So(s.load.decayed(epoch), convey.ShouldAlmostEqual, float64(c.running+c.waiting-1), 1)
+				tables[2].Learn(now, told) // a repeated message
+				_, at := tables[2].GossipSince(now, GossipPosition{})
+				convey.So(at.reports, convey.ShouldEqual, 1)
+			})
+		})
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func TestInvalidReportsAreIgnored(t *testing.T) {
+	convey.Convey("Reports of unknown endpoints, with free slots, or from the future", t, func() {
+		table := topology{1, 1, 6, 3}.table()
+		c, _ := table.Choose(epoch, query(7))
+		h := Hash(c.state.hash)
+		table.Learn(epoch, Gossip{Full: []LoadReport{{Endpoint: 1, Requests: 9}, {Endpoint: h, Requests: 2}, {Endpoint: h, Requests: 9, Age: -5000}, {Endpoint: h, Requests: 9, Age: 1 << 62}}})
+		convey.So(c.state.requests(epoch), convey.ShouldEqual, 0)
 	})
 }
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -18,6 +18,7 @@
 type load struct {
 	otherRequests float64 // requests of other nodes, running or waiting
 	reportedAt    time.Time
+	toldAt        time.Time // time of the last report that was told to other nodes
 	limit         int       // number of requests at which the endpoint rejected another; 0: none rejected yet
 	rejectedAt    time.Time // time of the last rejection
 }
--- a/endpoint/result.go
+++ b/endpoint/result.go
@@ -94,6 +94,7 @@
 	defer t.mu.Unlock()
 	s := c.state
 	if r.Slots > 0 {
+		t.tellReport(s, r.Running+r.Waiting, now)
 		s.load.recordReport(now, r.Running+r.Waiting, s.inFlight)
 	}
 	s.inFlight--
--- a/endpoint/simulation_test.go
+++ b/endpoint/simulation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/wasabiwheel/wasabiwheel/admission"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
@@ -19,7 +20,11 @@
 type simulation struct {
 	topology
 	nodes            int
-	neighbours       int           // from which each node learns replicas; 0: none
+	neighbours       int           // from which each node learns of replicas and full endpoints; 0: none
+	uniform          bool          // all objects are requested equally often
+	admission        bool          // nodes reject requests that would be late
+	timeout          time.Duration // of callers; 0: simTimeout
+	queue            int           // maximum number of waiting requests at an endpoint; 0: simQueue
 	load             float64       // offered load, as a share of the endpoints' capacity when all objects are warm
 	warmup           time.Duration // requests that arrive before are not counted
 	duration         time.Duration
@@ -96,6 +101,7 @@
 func (sim *simulation) run(seed uint64) results {
 	sim.rng = rand.New(rand.NewPCG(seed, 1))
 	sim.servers = map[string]*server{}
+	sim.timeout, sim.queue = cmp.Or(sim.timeout, simTimeout), cmp.Or(sim.queue, simQueue)
 	sim.objects, sim.cacheSize, sim.objective = cmp.Or(sim.objects, simObjects), cmp.Or(sim.cacheSize, simCacheSize), cmp.Or(sim.objective, query(0).Objective)
 	for range sim.nodes {
 		sim.tables = append(sim.tables, sim.table())
@@ -113,6 +119,9 @@
 	zipf := rand.NewZipf(sim.rng, 1.1, 4, uint64(sim.objects-1))
 	for at := time.Duration(0); at < sim.duration; at += time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second)) {
 		object := Object(1 + zipf.Uint64())
+		if sim.uniform {
+			object = Object(1 + sim.rng.IntN(sim.objects))
+		}
 		node := sim.rng.IntN(sim.nodes)
 		sim.after(epoch, at, func(now time.Time) {
 			req := &request{object: object, arrivedAt: now, node: node, query: sim.query(object), results: &results{}}
@@ -124,7 +133,7 @@
 		})
 	}
 	if sim.neighbours > 0 {
-		sim.tellReplicas()
+		sim.gossip()
 	}
 	for at := time.Duration(0); at < sim.duration; at += 250 * time.Millisecond {
 		sim.after(epoch, at, func(now time.Time) {
@@ -137,19 +146,19 @@
 	return sim.results
 }
 
-// tellReplicas lets each node learn replicas from its successors, as with heartbeats.
-func (sim *simulation) tellReplicas() {
-	positions := make([][]ReplicaPosition, sim.nodes)
+// gossip lets each node learn from its successors.
+func (sim *simulation) gossip() {
+	positions := make([][]GossipPosition, sim.nodes)
 	for i := range positions {
-		positions[i] = make([]ReplicaPosition, sim.neighbours)
+		positions[i] = make([]GossipPosition, sim.neighbours)
 	}
-	for at := time.Duration(0); at < sim.duration; at += 500 * time.Millisecond {
-		sim.after(epoch, at, func(time.Time) {
+	for at := time.Duration(0); at < sim.duration; at += GossipInterval {
+		sim.after(epoch, at, func(now time.Time) {
 			for i, t := range sim.tables {
 				for k := range min(sim.neighbours, sim.nodes-1) {
-					var told []Replica
-					told, positions[i][k] = sim.tables[(i+k+1)%sim.nodes].NewReplicas(positions[i][k])
-					t.LearnReplicas(told)
+					var told Gossip
+					told, positions[i][k] = sim.tables[(i+k+1)%sim.nodes].GossipSince(now, positions[i][k])
+					t.Learn(now, told)
 				}
 			}
 		})
@@ -168,7 +177,7 @@
 // send chooses an endpoint and sends the next attempt of a request to it.
 func (sim *simulation) send(now time.Time, req *request) {
 	c, reason := sim.tables[req.node].Choose(now, req.query)
-	if reason != "" || !sim.tables[req.node].Start(now, c) {
+	if reason != "" || !sim.admit(now, req, c) || !sim.tables[req.node].Start(now, c) {
 		req.results.rejected++
 		return
 	}
@@ -176,13 +185,13 @@
 	s := sim.servers[string(c.Endpoint.ID)]
 	since := now.Sub(epoch)
 	rejects := since >= sim.slowFrom && since < sim.slowTo && sim.rng.Float64() < sim.rejectShare
-	if rejects || s.running == s.slots && len(s.queue) == simQueue {
+	if rejects || s.running == s.slots && len(s.queue) == sim.queue {
 		sim.finish(now, req, s, VerdictShed)
 		sim.retry(now, req)
 		return
 	}
 	attempt := req.attempts
-	sim.after(now, simTimeout-now.Sub(req.arrivedAt), func(now time.Time) {
+	sim.after(now, sim.timeout-now.Sub(req.arrivedAt), func(now time.Time) {
 		if !req.done && req.attempts == attempt {
 			sim.finish(now, req, s, VerdictTimeout)
 			req.results.late++
@@ -195,6 +204,13 @@
 	s.queue = append(s.queue, req)
 }
 
+// admit reports whether a node accepts a request for the chosen endpoint.
+func (sim *simulation) admit(now time.Time, req *request, c Choice) bool {
+	return !sim.admission || admission.Decide(
+		admission.Request{Priority: 1, Objective: sim.objective, Left: sim.timeout - now.Sub(req.arrivedAt)},
+		admission.Estimate{Wait: c.Wait, Run: c.NominalRun, WarmRun: c.WarmRun, Unmeasured: c.Unmeasured}).Admit
+}
+
 // retry sends a rejected request to another endpoint.
 func (sim *simulation) retry(now time.Time, req *request) {
 	if req.attempts == simAttempts {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -5,9 +5,9 @@
 //
 // All nodes rank the endpoints of a service for an object by the same rendezvous hashing over
 // the same registrations, so an object is served where it was served before, whichever node
-// its callers use. Nodes exchange only which other endpoints have an object cached (see
-// Replica), not load or health. Bounds on the sum over all nodes are divided among them (see
-// ColdSenders).
+// its callers use. Nodes tell each other which other endpoints have an object cached
+// and which are full (see Gossip), but not their health. Bounds on the sum over all nodes are
+// divided among them (see ColdSenders).
 //
 // The package does no I/O and starts no goroutines. Methods take the current time as an
 // argument and are safe for concurrent use. A table has one lock.
@@ -58,6 +58,7 @@
 	local          LocalDomain
 	roundTrips     map[inventory.DomainID]time.Duration // absent: not measured yet
 	replicas       replicaLog
+	reports        reportLog
 	choices        uint64    // number of choices made
 	storeLost      bool      // the store cannot be reached
 	storeLostAt    time.Time // when it last became unreachable
@@ -103,6 +104,7 @@
 		drained:      map[inventory.DomainID]bool{},
 		serviceTimes: map[inventory.RouteID]*serviceTimes{},
 		roundTrips:   map[inventory.DomainID]time.Duration{},
+		reports:      reportLog{changed: make(chan struct{})},
 	}
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -42,7 +42,7 @@
 // subscriber is a node that receives updates, and what it has been sent.
 type subscriber struct {
 	subscribeRequest
-	replicas endpoint.ReplicaPosition
+	gossip endpoint.GossipPosition
 }
 
 // peerUpdate is a message to a subscriber.
@@ -51,7 +51,7 @@
 	Hops      discovery.Hops       `cbor:"hops"` // number of nodes between this node and the store; -1: it is not kept up to date
 	Positions []discovery.Position `cbor:"positions"`
 	Batches   []discovery.Batch    `cbor:"batches,omitempty"`
-	Replicas  []endpoint.Replica   `cbor:"copies,omitempty"`
+	Gossip    endpoint.Gossip      `cbor:"gossip"`
 }
 
 func (n *Node) peerHandler() http.Handler {
@@ -87,7 +87,7 @@
 		interval = discovery.UpdateInterval
 	}
 	for ctx.Err() == nil && n.ctx.Err() == nil {
-		changed := n.mirror.NextChange()
+		changed, full := n.mirror.NextChange(), n.endpoints.NextReport()
 		if n.sendUpdate(ctx, c, &to) != nil {
 			return
 		}
@@ -99,13 +99,15 @@
 		case <-ctx.Done():
 		case <-n.ctx.Done():
 		case <-changed:
+		case <-full:
+			sleep(ctx, endpoint.GossipInterval)
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
-// sendUpdate sends a heartbeat, new replicas and, if the subscriber requested them, the
+// sendUpdate sends a heartbeat, news of endpoints and, if the subscriber requested them, the
 // changes of the store that it does not have.
 func (n *Node) sendUpdate(ctx context.Context, c *websocket.Conn, to *subscriber) error {
 	m := peerUpdate{
@@ -116,7 +118,7 @@
 	if m.Hops == discovery.HopsReader {
 		m.Beat.StoreReachedFor = n.storeReachedFor()
 	}
-	m.Replicas, to.replicas = n.endpoints.NewReplicas(to.replicas)
+	m.Gossip, to.gossip = n.endpoints.GossipSince(time.Now(), to.gossip)
 	for i, p := range to.Positions {
 		if b, ok := n.mirror.Since(p); ok && to.Feed && b.At > p.At {
 			m.Batches = append(m.Batches, b)
@@ -283,7 +285,7 @@
 	for _, b := range m.Batches {
 		n.mirror.Receive(b)
 	}
-	n.endpoints.LearnReplicas(m.Replicas)
+	n.endpoints.Learn(now, m.Gossip)
 	n.relay.RecordHeartbeat(now, m.Beat.Entry, m.Hops, m.Positions)
 	n.endpoints.StoreReachedElsewhere(now, m.Beat.StoreReachedFor)
 	if n.members.RecordHeartbeat(now, m.Beat) {
