discovery: a process that starts waits a second before its first watch

Cause: a process reads the store until its copy is complete and it has found an upstream process.

Change: after its first list, a process waits a second for an upstream. A change is known within 1.5 s as before.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -36,7 +36,12 @@
 	// coalesceDelay is the pause between the response to a watch and the next watch,
 	// so that a burst of changes costs one call. Drains and configurations have a
 	// time limit of two seconds and more.
-	coalesceDelay      = 400 * time.Millisecond
+	coalesceDelay = 400 * time.Millisecond
+	// firstWatchDelay is the pause between the first list and the first watch. A process that
+	// starts has usually found an upstream process by then and makes no watch. It is shorter
+	// than the time in which a change must be known, and only processes that have just started
+	// wait so long.
+	firstWatchDelay    = time.Second
 	probeInterval      = time.Second            // between probes while the store is reachable
 	probeTimeout       = 700 * time.Millisecond // a slow store responds within 300 ms
 	probeRetryInterval = 300 * time.Millisecond // between probes while the store is unreachable
@@ -193,7 +198,10 @@
 			wait(ctx, changed)
 			continue
 		}
-		began := time.Now()
+		began, pause := time.Now(), coalesceDelay
+		if f.mirror.At(kind) == 0 {
+			pause = firstWatchDelay
+		}
 		err := f.fetch(ctx, changed, kind, discarded)
 		discarded = platform.IsKind(err, platform.KindCompacted)
 		switch {
@@ -201,7 +209,7 @@
 			return
 		case err == nil:
 			backoff.Reset()
-			sleep(ctx, coalesceDelay, changed)
+			sleep(ctx, pause, changed)
 		case isClosed(changed): // retried once reading is enabled and the store is reachable
 		default:
 			f.observer.Failed(kind, err)
