--- /dev/null
+++ b/exchange/response.go
@@ -0,0 +1,138 @@
+package exchange
+
+// Reading of responses. Endpoints in trouble send truncated responses, those to other
+// requests, and bytes that are no response, also without end: each part has a bound in size,
+// and the request's deadline bounds the time.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+)
+
+// Limits of a response.
+const (
+	maxHeadSize       = 64 << 10 // bytes of a head, together with the informational responses before it
+	maxBodySize       = 16 << 20 // bytes of a body, which is buffered to be forwarded complete
+	firstBodyChunk    = 8 << 10  // bytes of memory for a body of unknown length at first
+	bodyChunk         = 64 << 10 // bytes by which the memory of a long body grows
+	maxReceiving      = 24 << 20 // bytes of memory for bodies that a pool is receiving, beyond the first chunk of each
+	maxStrayResponses = 4        // responses to other requests that are discarded before the exchange fails
+)
+
+// readResponse reads responses until the one that belongs to the request. stray
+// states whether responses to other requests were discarded.
+func (c *conn) readResponse(names HeaderNames, r Request) (resp *http.Response, body []byte, stray bool, err error) {
+	req := &http.Request{Method: r.Method}
+	for range maxStrayResponses {
+		resp, err = c.readHead(req)
+		if err != nil {
+			return nil, nil, stray, c.readError(err)
+		}
+		matches := resp.Header.Get(names.Request) == r.ID
+		body, err = c.readBody(resp)
+		if err != nil && matches {
+			return nil, nil, stray, c.readError(err)
+		}
+		if matches {
+			return resp, body, stray, nil
+		}
+		if err != nil || resp.Close || resp.Header.Get(names.Request) == "" {
+			break
+		}
+		stray = true
+	}
+	return nil, nil, stray, c.newError("read", KindBroken, errors.New("response belongs to another request"))
+}
+
+// errHeadTooLarge is returned for a head that exceeds maxHeadSize.
+var errHeadTooLarge = errors.New("response head is too large")
+
+// input is what a connection reads from, with a bound while a head is read: net/http has
+// none when it parses a response.
+type input struct {
+	io.Reader
+	left int64 // bytes that may still be read
+}
+
+// Read reads from the connection and fails with errHeadTooLarge beyond the bound.
+func (in *input) Read(p []byte) (int, error) {
+	if in.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := in.Reader.Read(p[:min(int64(len(p)), in.left)])
+	in.left -= int64(n)
+	return n, err
+}
+
+// readHead reads the head of the next response, skipping informational ones (1xx).
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.input.left = maxHeadSize
+	defer func() { c.input.left = math.MaxInt64 }()
+	for {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("endpoint switched protocols without an upgrade request")
+		}
+	}
+}
+
+// readBody reads the body of a response. Memory grows with the bytes that arrive, not with
+// the stated length, and bodies that are received at the same time share a bound.
+func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		return nil, nil // also with a stated length, which is that of the response to a GET
+	}
+	if resp.ContentLength > maxBodySize {
+		return nil, fmt.Errorf("response body of %d bytes is too large", resp.ContentLength)
+	}
+	if resp.ContentLength >= 0 && resp.ContentLength <= bodyChunk {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	var chunks [][]byte
+	chunk, size := make([]byte, 0, firstBodyChunk), 0
+	reserved := int64(0)
+	defer func() { c.receiving.Add(-reserved) }()
+	for {
+		n, err := resp.Body.Read(chunk[len(chunk):cap(chunk)])
+		chunk, size = chunk[:len(chunk)+n], size+n
+		switch {
+		case err == io.EOF:
+			return slices.Concat(append(chunks, chunk)...), nil
+		case err != nil:
+			return nil, err
+		case size > maxBodySize:
+			return nil, errors.New("response body is too large")
+		case len(chunk) < cap(chunk):
+			continue
+		}
+		chunks = append(chunks, chunk)
+		next := min(2*cap(chunk), bodyChunk)
+		reserved += int64(next)
+		if c.receiving.Add(int64(next)) > maxReceiving {
+			return nil, errors.New("too many bytes of responses are being received")
+		}
+		chunk = make([]byte, 0, next)
+	}
+}
+
+// readError returns a KindTimeout error if err is a timeout, else KindBroken.
+func (c *conn) readError(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return c.newError("read", KindTimeout, err)
+	}
+	return c.newError("read", KindBroken, err)
+}
--- a/node/ahead_test.go
+++ b/node/ahead_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -223,14 +224,15 @@
 	convey.Convey("All requests are canceled, those behind the first are not served", t, func() {
 		s := newAheadServer(t)
 		conn, _ := s.dial(getRequest("/1") + getRequest("/2"))
-		time.Sleep(100 * time.Millisecond) // the requests have been received
 		convey.So(conn.Close(), convey.ShouldBeNil)
 		select {
 		case <-s.left:
 		case <-time.After(5 * time.Second):
 			t.Fatal("the first request is not canceled")
 		}
-		time.Sleep(100 * time.Millisecond)
+		for s.servers[0].openConns.Load() > 0 {
+			runtime.Gosched()
+		}
 		convey.So(s.servedPaths(), convey.ShouldEqual, "")
 	})
 }
