--- a/node/caller_conn.go
+++ b/node/caller_conn.go
@@ -47,6 +47,7 @@
 	draining bool // a drain deadline is in force, which the limits must not extend
 }
 
+// Read returns what was read ahead, or reads from the connection under the limit in force.
 func (c *callerConn) Read(p []byte) (int, error) {
 	switch {
 	case c.serving.Load() && len(p) == 1:
