exchange: TestConnectionLimit waits until its request has arrived

It waited until the endpoint had accepted a connection, not until the request had been read. If the first request was canceled before it was written, the endpoint kept its first scripted response, silence, for the third one. With a pause of 20 ms before the write the test fails each time; waiting for the request, it passes five of five times with it.

The check is as strict: the first request is under way when the second is refused.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -411,7 +411,7 @@
 			_, err := p.Do(ctx, s.singleConnRequest("one"))
 			first <- err
 		}()
-		for _, conns := s.received(); conns == 0; _, conns = s.received() {
+		for requests, _ := s.received(); len(requests) == 0; requests, _ = s.received() {
 			<-time.After(time.Millisecond)
 		}
 		_, err := p.Do(t.Context(), s.singleConnRequest("two"))
