exchange: a request canceled before it is sent ends at once

Cause: the connection's deadline was set after the request had been tied to its context. A cancelation in between set a deadline in the past, which was then overwritten: the request ran on until its deadline, for a caller that had left.

Change: the deadline is set first.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -171,6 +171,7 @@
 	if err != nil {
 		return Response{}, err
 	}
+	_ = c.SetDeadline(r.Deadline) // before AfterFunc, so that it doesn't undo an interrupt; fails only on a closed connection
 	stop := context.AfterFunc(ctx, c.interrupt)
 	resp, reusable, err := c.roundTrip(p.headerNames, r)
 	interrupted := !stop()
@@ -198,7 +199,6 @@
 // roundTrip writes a request and reads its response. reusable states whether the
 // connection may carry another request.
 func (c *conn) roundTrip(names HeaderNames, r Request) (response Response, reusable bool, err error) {
-	_ = c.SetDeadline(r.Deadline) // fails only on a closed connection, which the next operation reports
 	written := make(chan error, 1)
 	hasBody := r.Body.Reader != nil && r.Body.Length != 0
 	if hasBody {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -384,6 +384,51 @@
 	}
 }
 
+// cancelingDialer opens connections on which the request is canceled just as its deadline is
+// set.
+type cancelingDialer struct {
+	net.Dialer
+	cancel context.CancelFunc
+}
+
+func (d *cancelingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	return &cancelingConn{Conn: c, cancel: d.cancel, interrupted: make(chan struct{}, 10)}, err
+}
+
+type cancelingConn struct {
+	net.Conn
+	cancel      context.CancelFunc
+	interrupted chan struct{}
+}
+
+func (c *cancelingConn) SetDeadline(t time.Time) error {
+	if t.Before(time.Now()) {
+		c.interrupted <- struct{}{}
+		return c.Conn.SetDeadline(t)
+	}
+	c.cancel()
+	select {
+	case <-c.interrupted:
+	case <-time.After(100 * time.Millisecond):
+	}
+	return c.Conn.SetDeadline(t)
+}
+
+func TestCanceledBeforeTheRequestIsSent(t *testing.T) {
+	convey.Convey("The request ends at once, not at its deadline", t, func() {
+		s := newScriptedEndpoint(t, "silence")
+		ctx, cancel := context.WithCancel(t.Context())
+		p := exchange.New(exchange.Options{HeaderNames: headerNames, Dialer: &cancelingDialer{cancel: cancel}})
+		r := s.request("one")
+		r.Deadline = time.Now().Add(5 * time.Second)
+		began := time.Now()
+		_, err := p.Do(ctx, r)
+		convey.So(kindOf(err), convey.ShouldEqual, exchange.KindCanceled)
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 3*time.Second)
+	})
+}
+
 func TestConnectionRefused(t *testing.T) {
 	convey.Convey("Nothing was sent", t, func() {
 		s := newScriptedEndpoint(t)
