--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -36,12 +36,7 @@
 	// coalesceDelay is the pause between the response to a watch and the next watch,
 	// so that a burst of changes costs one call. Drains and configurations have a
 	// time limit of two seconds and more.
-	coalesceDelay = 400 * time.Millisecond
-	// firstWatchDelay is the pause between the first list and the first watch. A process that
-	// starts has usually found an upstream process by then and makes no watch. It is shorter
-	// than the time in which a change must be known, and only processes that have just started
-	// wait so long.
-	firstWatchDelay    = time.Second
+	coalesceDelay      = 400 * time.Millisecond
 	probeInterval      = time.Second            // between probes while the store is reachable
 	probeTimeout       = 700 * time.Millisecond // a slow store responds within 300 ms
 	probeRetryInterval = 300 * time.Millisecond // between probes while the store is unreachable
@@ -198,10 +193,7 @@
 			wait(ctx, changed)
 			continue
 		}
-		began, pause := time.Now(), coalesceDelay
-		if f.mirror.At(kind) == 0 {
-			pause = firstWatchDelay
-		}
+		began := time.Now()
 		err := f.fetch(ctx, changed, kind, discarded)
 		discarded = platform.IsKind(err, platform.KindCompacted)
 		switch {
@@ -209,7 +201,7 @@
 			return
 		case err == nil:
 			backoff.Reset()
-			sleep(ctx, pause, changed)
+			sleep(ctx, coalesceDelay, changed)
 		case isClosed(changed): // retried once reading is enabled and the store is reachable
 		default:
 			f.observer.Failed(kind, err)
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -286,15 +286,3 @@
 		})
 	}
 }
-
-func TestStartWithUpstreamMakesNoWatch(t *testing.T) {
-	inBubble(t, func(f *fixture) {
-		convey.Convey("A process that follows another one within a second costs a list and a probe", t, func() {
-			time.Sleep(900 * time.Millisecond)
-			f.follower.SetReading(false)
-			f.write("a", "x")
-			time.Sleep(5 * time.Second)
-			convey.So(f.platform.Counts().Reads, convey.ShouldBeLessThanOrEqualTo, 2)
-		})
-	})
-}
