--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -11,7 +11,7 @@
 // Full endpoints: a node that does not know that an endpoint is full sends it a request that
 // waits until it times out, where it could be sent elsewhere, or be rejected at once. Since
 // the work on requests that time out is wasted, an overload would sustain itself. Only reports
-// of endpoints without a free slot are told, so there are none under low load.
+// of endpoints where requests wait are told, so there are few under low load.
 //
 // Both are told to neighbours, and passed on by nodes to which they are new. The logs of a
 // node and its messages are bounded; what exceeds the bounds is lost, and found out by
@@ -24,9 +24,8 @@
 
 const (
 	maxGossipLog = 256 // replicas, and reports, that a node keeps to tell its neighbours
-	// maxGossipTold bounds the replicas and the reports of a message: less than 20 bytes each,
-	// so that messages to eight neighbours each GossipInterval stay within a node's budget for
-	// control traffic.
+	// maxGossipTold bounds the replicas and the reports of a message, less than 20 bytes each:
+	// a neighbour is sent at most 6 KB/s.
 	maxGossipTold = 32
 	// minReportAge is the age of a known report from which a newer one of the same endpoint is
 	// told. It is shorter than the time constant of the decay of reports.
@@ -50,8 +49,8 @@
 	Endpoint Hash
 }
 
-// LoadReport is the number of requests, running or waiting, at an endpoint without a free
-// slot, a time ago.
+// LoadReport is the number of requests, running or waiting, at an endpoint where requests
+// wait, a time ago.
 type LoadReport struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint Hash
@@ -158,7 +157,7 @@
 	}
 	for _, r := range g.Full[:min(len(g.Full), maxGossipTold)] {
 		s := t.byHash[r.Endpoint]
-		if s == nil || r.Requests < s.Slots || r.Age < 0 || r.Age > maxReportAge.Milliseconds() {
+		if s == nil || r.Requests <= s.Slots || r.Age < 0 || r.Age > maxReportAge.Milliseconds() {
 			continue
 		}
 		at := now.Add(-time.Duration(r.Age) * time.Millisecond)
@@ -174,10 +173,10 @@
 	t.replicas.append(Replica{Object: o, Endpoint: Hash(s.hash)})
 }
 
-// tellReport adds a report to the log if the endpoint is full and the last report that was
-// told is not recent.
+// tellReport adds a report to the log if requests wait at the endpoint and the last report
+// that was told is not recent.
 func (t *Table) tellReport(s *endpointState, total int, at time.Time) {
-	if total < s.Slots || at.Sub(s.load.toldAt) < minReportAge {
+	if total <= s.Slots || at.Sub(s.load.toldAt) < minReportAge {
 		return
 	}
 	s.load.toldAt = at
