node, discovery: logs tell why a configuration is late

The line 'configuration in force' has from where the node gets changes and for how long its neighbours had the version; 'behind a neighbour' has the collections that are missing and since when; a tick that comes late is logged as 'delayed', and both delays have histograms. No decision changes.

--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -81,7 +81,8 @@
 // missingChange is a change that neighbours have received and this process has not.
 type missingChange struct {
 	revision platform.Revision
-	since    time.Time
+	since    time.Time // start of the current period of lagTimeout
+	first    time.Time // since when changes of the collection have been missing
 }
 
 // Hops is the number of processes between the store and an up-to-date process.
@@ -317,15 +318,27 @@
 		case known >= newest:
 			delete(r.missing, kind)
 		case !isMissing || known >= m.revision:
-			r.missing[kind] = missingChange{revision: newest, since: now}
+			r.missing[kind] = missingChange{revision: newest, since: now, first: now}
 		case now.Sub(m.since) >= lagTimeout:
-			r.missing[kind] = missingChange{revision: newest, since: now}
+			r.missing[kind] = missingChange{revision: newest, since: now, first: m.first}
 			lagging = true
 		}
 	}
 	return lagging
 }
 
+// MissingFor returns for how long this process has lacked a change of a collection that a
+// neighbour has reported, 0 if it lacked none when the last plan was made.
+func (r *Relay) MissingFor(now time.Time, kind platform.Collection) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, isMissing := r.missing[kind]
+	if !isMissing {
+		return 0
+	}
+	return now.Sub(m.first)
+}
+
 // newestReported returns the newest change of each collection that any neighbour has
 // reported.
 func (r *Relay) newestReported(now time.Time) map[platform.Collection]platform.Revision {
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -234,3 +234,20 @@
 		}
 	})
 }
+
+func TestMissingFor(t *testing.T) {
+	order := domain(2)
+	convey.Convey("From the neighbour's report until the change has arrived, across periods of the timeout", t, func() {
+		r := discovery.NewRelay(order[1])
+		r.SetPeers(order)
+		now := epoch
+		for range 10 {
+			r.RecordHeartbeat(now, order[0].ID, discovery.HopsReader, at(9))
+			r.Plan(now, at(5), true)
+			convey.So(r.MissingFor(now, things), convey.ShouldEqual, now.Sub(epoch))
+			now = now.Add(200 * time.Millisecond)
+		}
+		r.Plan(now, at(9), true)
+		convey.So(r.MissingFor(now, things), convey.ShouldEqual, 0)
+	})
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -49,7 +49,7 @@
 // long as another node forwards its changes.
 func (n *Node) Lost(cause error) {
 	n.metrics.increment("store.unreached")
-	if !n.hasUpstream.Load() {
+	if n.plan.Load().Upstream == "" {
 		n.setStoreReached(false, "cause", cause)
 	}
 }
@@ -221,7 +221,11 @@
 		srv.applyLimits()
 	}
 	n.routes.Store(route.New(c))
-	klog.InfoS("configuration in force", "version", c.Version, "before", before, "revision", o.Revision, "routes", len(c.Routes), "services", len(c.Services))
+	missing := n.relay.MissingFor(time.Now(), platform.Configurations)
+	n.metrics.observe("delay.configuration", missing)
+	plan := n.plan.Load()
+	klog.InfoS("configuration in force", "version", c.Version, "before", before, "revision", o.Revision, "routes", len(c.Routes), "services", len(c.Services),
+		"reads", plan.Reads, "feed", plan.Upstream, "missing", roundedSeconds(missing))
 	n.signalConfigured()
 }
 
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -142,3 +142,55 @@
 		})
 	})
 }
+
+func TestConfigurationIsLoggedWithItsSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("With where it came from, and for how long neighbours had it", t, func() {
+			out, end := collectLog()
+			defer end()
+			h := newHarness(t, testInventory())
+			defer h.close()
+			for _, e := range h.inv.Entries {
+				h.start(e.ID)
+			}
+			time.Sleep(8 * time.Second)
+			rel := h.publish(bytes.ReplaceAll(testInventory(), []byte("/other/"), []byte("/moved/")))
+			time.Sleep(5 * time.Second)
+			h.platform.SetFault(standin.Fault{})
+			lines := 0
+			for _, text := range out.lines() {
+				var line struct {
+					Message string  `json:"msg"`
+					Version int     `json:"version"`
+					Missing float64 `json:"missing"`
+				}
+				if json.Unmarshal([]byte(text), &line) != nil || line.Message != "configuration in force" || line.Version != int(rel.Version) {
+					continue
+				}
+				lines++
+				convey.So(text, convey.ShouldContainSubstring, `"reads":`)
+				convey.So(text, convey.ShouldContainSubstring, `"feed":`)
+				convey.So(line.Missing, convey.ShouldBeBetweenOrEqual, 0, 2)
+			}
+			convey.So(lines, convey.ShouldEqual, len(h.nodes))
+		})
+	})
+}
+
+func TestLateTicksAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Those that come late enough to delay changes of the store", t, func() {
+			out, end := collectLog()
+			n := New(Settings{}, Options{})
+			n.recordTick(tickInterval)
+			n.recordTick(tickInterval + minLoggedDelay/2)
+			n.recordTick(tickInterval + 2*minLoggedDelay)
+			time.Sleep(time.Second)
+			end()
+			convey.So(len(out.lines()), convey.ShouldEqual, 1)
+			convey.So(out.lines()[0], convey.ShouldContainSubstring, `"msg":"delayed","for":0.4`)
+			convey.So(n.metrics.registry.Get("delay.tick"), convey.ShouldNotBeNil)
+			n.cancel()
+		})
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,9 @@
 
 const (
 	tickInterval = 250 * time.Millisecond // between updates that depend on time only
+	// minLoggedDelay is the delay of a tick from which it is logged: about the time that a
+	// change of the store takes to reach a node.
+	minLoggedDelay = 200 * time.Millisecond
 	// storeGrace is how long entries that expired while the store was unreachable are kept
 	// after it is reachable again: endpoints register again within about two seconds.
 	storeGrace = 2200 * time.Millisecond
@@ -128,12 +131,12 @@
 	relay         *discovery.Relay
 	storeState    storeState
 
-	ctx         context.Context // canceled when the node has left
-	cancel      context.CancelFunc
-	background  sync.WaitGroup
-	inFlight    atomic.Int64 // requests in flight
-	hasUpstream atomic.Bool  // another node forwards the changes of the store
-	configured  chan struct{}
+	ctx        context.Context // canceled when the node has left
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	inFlight   atomic.Int64                   // requests in flight
+	plan       atomic.Pointer[discovery.Plan] // how the node currently obtains the changes of the store
+	configured chan struct{}
 }
 
 // New returns a node that has not started yet.
@@ -164,6 +167,7 @@
 		configured:  make(chan struct{}),
 	}
 	n.settings.Store(&s)
+	n.plan.Store(&discovery.Plan{})
 	n.endpoints = endpoint.New(s.regions(), s.Bounds.endpointBounds())
 	n.members = member.New(n.entry())
 	n.pool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
@@ -242,6 +246,7 @@
 	detector := newPauseDetector(time.Now(), n.sinceBoot)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -249,6 +254,8 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		n.recordTick(now.Sub(last))
+		last = now
 		if gap := detector.check(now); gap > 0 {
 			n.metrics.increment("pause")
 			klog.InfoS("paused", "for", gap)
@@ -262,6 +269,16 @@
 	}
 }
 
+// recordTick records the time since the last tick. A tick that comes late shows that the node's
+// goroutines wait for the processor, so that its state may be stale.
+func (n *Node) recordTick(gap time.Duration) {
+	delay := max(0, gap-tickInterval)
+	n.metrics.observe("delay.tick", delay)
+	if delay >= minLoggedDelay {
+		klog.InfoS("delayed", "for", roundedSeconds(delay), "inflight", n.inFlight.Load())
+	}
+}
+
 // transition changes the state of the node's lifecycle.
 func (n *Node) transition(event string) {
 	if err := n.lifecycle.Event(context.Background(), event); err != nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -186,10 +187,10 @@
 	n.follower.SetReading(plan.Reads)
 	if plan.Refresh {
 		n.metrics.increment("store.behind")
-		klog.InfoS("behind a neighbour, asking the store again")
+		klog.InfoS("behind a neighbour, asking the store again", "missing", n.missingChanges())
 		n.follower.Refresh()
 	}
-	n.hasUpstream.Store(plan.Upstream != "")
+	n.plan.Store(&plan)
 	if plan.Upstream != "" {
 		n.setStoreReached(true, "by", plan.Upstream)
 	}
@@ -198,6 +199,18 @@
 	}
 }
 
+// missingChanges returns the collections of which a neighbour has a newer state, each with the
+// seconds for which it has been missing.
+func (n *Node) missingChanges() []string {
+	var all []string
+	for _, p := range n.mirror.Positions() {
+		if d := n.relay.MissingFor(time.Now(), p.Kind); d > 0 {
+			all = append(all, fmt.Sprintf("%s after revision %d for %g s", p.Kind, p.Newest, roundedSeconds(d)))
+		}
+	}
+	return all
+}
+
 // subscriptions returns the nodes to subscribe to.
 func (n *Node) subscriptions(plan discovery.Plan) []subscription {
 	var all []subscription
