exchange, endpoint: limits that endpoints name are read and logged

Cause: endpoints in need name the request rate that they take from all nodes together, and got more; the logs did not have the limits.

The header is read (one decimal number; anything else is counted as malformed and changes nothing), kept by endpoint and start, logged when it changes, and shown by status. It is not forwarded to callers, like the load. No decision uses it yet.

--- a/caller/protocol.go
+++ b/caller/protocol.go
@@ -25,6 +25,7 @@
 	Signature: "Wasabiwheel-Signature",
 	NotRun:    "Wasabiwheel-Not-Run",
 	Load:      "Wasabiwheel-Load",
+	Limit:     "Wasabiwheel-Limit",
 	Cold:      "Wasabiwheel-Cold",
 	Instance:  "Wasabiwheel-Instance",
 }
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -89,6 +89,7 @@
 	load         load
 	health       health
 	warmup       warmup
+	limit        knownLimit
 	missingSince time.Time // when its entry was removed from the store; zero: it was not
 	replaced     bool      // another endpoint uses its address
 }
@@ -315,6 +316,7 @@
 	Backoff      bool                 `json:"resting,omitempty"` // in backoff, since it was not reached
 	Replaced     bool                 `json:"replaced,omitempty"`
 	FailureScore float64              `json:"trouble,omitempty"` // weight of recent failures, from 0 to 1
+	Limit        *inventory.Rate      `json:"limit,omitempty"`   // named by the endpoint, requests a second of all nodes
 	Slowdown     float64              `json:"speed"`             // service time relative to that of other endpoints
 }
 
@@ -328,7 +330,7 @@
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Slots: s.Slots,
 			InFlight: s.inFlight, Requests: s.requests(now), Draining: s.Draining,
 			Cold: s.warmup.active(now), Backoff: !s.health.usable(now), Replaced: s.replaced,
-			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now),
+			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Limit: s.limit.named(),
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -39,6 +39,7 @@
 	Signature string // proof that a response comes from the endpoint itself
 	NotRun    string // set by an endpoint that did not run a request
 	Load      string // running and waiting requests and slots of an endpoint
+	Limit     string // requests a second that an endpoint takes from all nodes together
 	Cold      string // remaining warm-up time of an endpoint, in milliseconds
 	Instance  string // the endpoint that responds
 }
@@ -73,6 +74,7 @@
 	Header   http.Header // without hop-by-hop headers
 	Body     []byte
 	Load     Load
+	Limit    Limit
 	Reused   bool          // the connection had been used before
 	DialTime time.Duration // time to open the connection; 0 if it was reused
 }
@@ -81,6 +83,14 @@
 // requests and slots. Slots is 0 if it reports none.
 type Load struct{ Running, Waiting, Slots int }
 
+// Limit is the request rate that an endpoint names in a response for all nodes together. The
+// zero Limit means that it names none.
+type Limit struct {
+	Rate      inventory.Rate
+	Named     bool
+	Malformed bool // the response names a limit that cannot be read: nothing is known about it
+}
+
 // Kind classifies an Error so that callers can branch on it.
 type Kind string
 
@@ -105,6 +115,7 @@
 	IdleTime   time.Duration // for which the connection had been idle
 	RetryAfter time.Duration // until a retry, as requested by an endpoint that sheds load; 0: not stated
 	Load       Load          // reported with KindShed
+	Limit      Limit         // named with KindShed
 	Err        error
 }
 
@@ -222,7 +233,7 @@
 	}
 	identified := r.ID != "" // otherwise a late second copy of the response would match the next such request
 	reusable = complete && writeErr == nil && identified && !stray && !resp.Close && c.buffered() == 0 && c.isReusable(resp)
-	response = Response{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body, Load: parseLoad(resp.Header.Get(names.Load)), Reused: c.uses > 0}
+	response = Response{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body, Load: parseLoad(resp.Header.Get(names.Load)), Limit: parseLimit(resp.Header.Values(names.Limit)), Reused: c.uses > 0}
 	if !response.Reused {
 		response.DialTime = c.dialTime
 	}
@@ -257,7 +268,7 @@
 	case resp.Header.Get(names.NotRun) != "" && resp.Status != http.StatusBadRequest:
 		e := c.newError("answer", KindShed, nil)
 		e.RetryAfter = parseRetryAfter(resp.Header.Get("Retry-After"))
-		e.Load = resp.Load
+		e.Load, e.Limit = resp.Load, resp.Limit
 		return e
 	case resp.Status/100 == 2 && names.Signature != "" && resp.Header.Get(names.Signature) == "":
 		return c.newError("answer", KindUnsigned, nil)
@@ -293,6 +304,25 @@
 	return Load{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
+// maxLimitLength is the length of the longest text that is read as a limit.
+const maxLimitLength = 32
+
+// parseLimit parses the values of the header that names a limit: one decimal number.
+func parseLimit(values []string) Limit {
+	if len(values) == 0 {
+		return Limit{}
+	}
+	text := strings.TrimSpace(values[0])
+	if len(values) > 1 || text == "" || len(text) > maxLimitLength || strings.Trim(text, "0123456789.") != "" {
+		return Limit{Malformed: true}
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return Limit{Malformed: true}
+	}
+	return Limit{Rate: inventory.Rate(rate), Named: true}
+}
+
 var errRequestBody = errors.New("request body of the caller ended early")
 
 // writeRequest writes a request.
--- a/standin/target.go
+++ b/standin/target.go
@@ -43,6 +43,7 @@
 	Fail         float64 `json:"fail"`     // share of requests that are answered with 500
 	Unsigned     bool    `json:"unsigned"` // omit the signature
 	ReportNoLoad bool    `json:"mislead"`  // always report a load of 0
+	Limit        string  `json:"limit"`    // requests a second that are named as the limit; "": none
 	IgnoreCancel bool    `json:"deaf"`     // continue processing when the sender disconnects
 }
 
@@ -333,8 +334,11 @@
 	return b.Fail > 0 && t.random.Float64() < b.Fail
 }
 
-// writeLoad adds the load to an answer.
+// writeLoad adds the load and the limit to an answer.
 func (t *Target) writeLoad(w http.ResponseWriter, b Behaviour) {
+	if b.Limit != "" {
+		w.Header().Set(t.headerNames.Limit, b.Limit)
+	}
 	if b.Slots == 0 {
 		return
 	}
