discovery: a reader whose probe gets no answer is no longer relied upon

Cause: a reader counts as up to date until its probe has failed. The parts add up: up to 1 s until the next probe, 0.7 s until it times out, 0.25 s until the next heartbeat, 0.2 s until the plan of the node that relies on it, and its own call to the store. The comparison with neighbours, which is faster, does not help if theirs have lost the store as well. Class: a chain of timeouts, each with a reason of its own, whose sum nobody compared with the bound.

Change: a probe without an answer for 0.35 s, longer than a slow store takes, ends the claim to be up to date; the probe itself may still succeed. Ruled out: more frequent probes (each costs a call on every reader at all times), a shorter timeout (a slow store would count as lost).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -40,8 +40,11 @@
 	probeInterval      = time.Second            // between probes while the store is reachable
 	probeTimeout       = 700 * time.Millisecond // a slow store responds within 300 ms
 	probeRetryInterval = 300 * time.Millisecond // between probes while the store is unreachable
-	minBackoff         = 200 * time.Millisecond // after a failed list or watch, doubling
-	maxBackoff         = 2 * time.Second
+	// overdueProbeTime is the time without a response to a probe after which other processes
+	// are no longer told that this one is up to date. A slow store responds sooner.
+	overdueProbeTime = 350 * time.Millisecond
+	minBackoff       = 200 * time.Millisecond // after a failed list or watch, doubling
+	maxBackoff       = 2 * time.Second
 )
 
 // Store is the client of the store that a Follower reads from.
@@ -74,6 +77,7 @@
 	reading   bool
 	reachable bool          // the last probe succeeded
 	failed    bool          // the last probe failed
+	probedAt  time.Time     // when the pending probe was sent; zero: none is pending
 	changed   chan struct{} // closed and replaced when reading or failed changes, or by Refresh
 }
 
@@ -121,11 +125,17 @@
 	f.changed = make(chan struct{})
 }
 
-// IsReading reports whether reading is enabled and the store is reachable.
+// IsReading reports whether reading is enabled and the store is reachable. A store that has
+// not responded to a probe for a while counts as unreachable before the probe fails: others
+// rely on this process for their changes, and have to find another source in time.
 func (f *Follower) IsReading() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.reading && f.reachable
+	return f.reading && f.reachable && !f.isProbeOverdue()
+}
+
+func (f *Follower) isProbeOverdue() bool {
+	return !f.probedAt.IsZero() && time.Since(f.probedAt) > overdueProbeTime
 }
 
 // probeStore probes at intervals whether the store is reachable.
@@ -136,6 +146,7 @@
 			wait(ctx, changed)
 			continue
 		}
+		f.setProbedAt(time.Now())
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		_, err := f.store.ListStale(probeCtx, f.probe)
 		cancel()
@@ -143,6 +154,7 @@
 			return
 		}
 		f.recordProbe(err, changed)
+		f.setProbedAt(time.Time{})
 		interval := probeInterval
 		if err != nil {
 			interval = probeRetryInterval
@@ -151,6 +163,12 @@
 	}
 }
 
+func (f *Follower) setProbedAt(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probedAt = at
+}
+
 // recordProbe records and reports the result of a probe that began when changed was the
 // channel of the state. A result from before a change of the state, such as a pause of the
 // process, says nothing about the store now and is ignored.
