endpoint, admission: limits are known to all nodes and respected in the choice

Cause: no decision read the limits that endpoints name.

Endpoints with a limit are chosen for the objects that they rank first for; what exceeds the limit goes to the first endpoint without one, the same from every node, so that the object is cached there. Only if that would be late, or all endpoints have limits, the others with a limit are used, too.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -54,6 +54,8 @@
 	Homes     []inventory.RegionID // regions whose endpoints may be used; empty: all
 	Objective time.Duration
 	Tried     []inventory.EndpointID // excluded from the choice
+	Unlimited bool                   // endpoints with a limit are excluded
+	Mixed     bool                   // endpoints with a limit are ranked among the others
 }
 
 // key returns what the endpoints are ranked by.
@@ -78,6 +80,7 @@
 	ColdTotal  time.Duration // Wait plus NominalRun if the object is not cached
 	Requests   float64       // estimated requests at the endpoint
 	Free       bool          // no wait is expected
+	Limited    bool          // the request needs a permit
 	Unmeasured bool          // no request of the route has been served yet, so service times are defaults
 	// MaxConnections is the number of connections that this node may have to the endpoint.
 	// DialTimeout is the timeout for opening one; 0: unknown.
@@ -104,6 +107,7 @@
 	ReasonTried   Reason = "tried" // all usable endpoints were tried
 	ReasonCold    Reason = "cold"  // the remaining endpoints are cold and may get no more from this node at present
 	ReasonBackoff Reason = "rest"  // the remaining endpoints are in backoff
+	ReasonLimit   Reason = "limit" // the remaining endpoints get as many requests as they allow
 )
 
 // serviceTimes holds the mean service times of a route's requests in seconds, with the
@@ -163,7 +167,7 @@
 	q.Tried = nil
 	for _, id := range tried {
 		s := t.byID[id]
-		if s != nil && s.Service == q.Service && t.exclusion(now, s, q) == "" && score(unitHash(q.key(), s), s) > best[0].score {
+		if s != nil && s.Service == q.Service && !s.limit.inForce() && t.exclusion(now, s, q) == "" && score(unitHash(q.key(), s), s) > best[0].score {
 			return noPrimary
 		}
 	}
@@ -175,36 +179,63 @@
 	return 0
 }
 
-// rank returns the usable endpoints with the highest scores, in descending order. If there
-// are none, it returns the reason.
+// rank returns the usable endpoints with the highest scores, in descending order. Of endpoints
+// with a limit it returns the first one, if that ranks before all others: what exceeds the limit
+// goes to the first endpoint without one, where the object is then cached, too. If there is no
+// other endpoint, all with a limit are ranked. If none is usable, rank returns the reason.
 func (t *Table) rank(now time.Time, p *pool, q Query) (best []candidate, reason Reason) {
+	best, limited := t.scan(now, p, q, q.Mixed)
+	switch {
+	case len(best) == 0 && limited.state == nil:
+		return nil, t.noEndpointReason(now, p, q)
+	case len(best) == 0:
+		best, _ = t.scan(now, p, q, true)
+	case limited.state != nil && limited.score > best[0].score:
+		best = slices.Insert(best, 0, limited)[:min(len(best)+1, maxCandidates)]
+	}
+	return best, ""
+}
+
+// scan returns the usable endpoints with the highest scores, in descending order, and the usable
+// endpoint with a limit that has the highest score. It ranks endpoints with a limit among the
+// others if mixed is set.
+func (t *Table) scan(now time.Time, p *pool, q Query, mixed bool) (best []candidate, limited candidate) {
 	key := q.key()
 	best = make([]candidate, 0, maxCandidates+1)
 	for _, s := range p.endpoints {
 		u := unitHash(key, s)
-		full := len(best) == maxCandidates
-		// slots/(1-u) is an upper bound of the score and avoids the logarithm.
-		if full && float64(s.Slots) <= best[maxCandidates-1].score*(1-u) {
-			continue
+		apart := !mixed && s.limit.inForce()
+		lowest := 0.0 // score that the endpoint has to exceed
+		switch {
+		case apart:
+			lowest = limited.score
+		case len(best) == maxCandidates:
+			lowest = best[maxCandidates-1].score
 		}
-		if t.exclusion(now, s, q) != "" {
+		// slots/(1-u) is an upper bound of the score and avoids the logarithm.
+		if float64(s.Slots) <= lowest*(1-u) || t.exclusion(now, s, q) != "" {
 			continue
 		}
 		cand := candidate{state: s, score: score(u, s)}
-		if full && cand.score <= best[maxCandidates-1].score {
-			continue
-		}
-		i := len(best)
-		for i > 0 && best[i-1].score < cand.score {
-			i--
+		switch {
+		case cand.score <= lowest:
+		case apart:
+			limited = cand
+		default:
+			best = insert(best, cand)
 		}
-		best = slices.Insert(best, i, cand)
-		best = best[:min(len(best), maxCandidates)]
 	}
-	if len(best) == 0 {
-		reason = t.noEndpointReason(now, p, q)
+	return best, limited
+}
+
+// insert inserts a candidate by its score and keeps the first maxCandidates.
+func insert(best []candidate, c candidate) []candidate {
+	i := len(best)
+	for i > 0 && best[i-1].score < c.score {
+		i--
 	}
-	return best, reason
+	best = slices.Insert(best, i, c)
+	return best[:min(len(best), maxCandidates)]
 }
 
 // noEndpointReason returns the most transient reason why an endpoint of a service may not
@@ -232,6 +263,8 @@
 		return ReasonBackoff
 	case s.warmup.active(now) && !t.maySendCold(now, s):
 		return ReasonCold
+	case s.limit.isHeld(now) || q.Unlimited && s.limit.inForce():
+		return ReasonLimit
 	}
 	return ""
 }
@@ -240,8 +273,9 @@
 type Exclusions struct {
 	None    int `json:"none"` // draining, drained, replaced, or outside the home regions
 	Tried   int `json:"tried"`
-	Backoff int `json:"rest"` // not reached recently
-	Cold    int `json:"cold"` // at their rate bound, or reserved for other nodes
+	Backoff int `json:"rest"`  // not reached recently
+	Cold    int `json:"cold"`  // at their rate bound, or reserved for other nodes
+	Limited int `json:"limit"` // no permit for them now
 }
 
 // Excluded counts the endpoints that a request may not use, by reason.
@@ -263,6 +297,8 @@
 			e.Backoff++
 		case ReasonCold:
 			e.Cold++
+		case ReasonLimit:
+			e.Limited++
 		}
 	}
 	return e
@@ -270,7 +306,7 @@
 
 // moreTransient returns the reason that is more likely to pass by itself.
 func moreTransient(a, b Reason) Reason {
-	order := []Reason{ReasonNone, ReasonTried, ReasonBackoff, ReasonCold}
+	order := []Reason{ReasonNone, ReasonTried, ReasonBackoff, ReasonCold, ReasonLimit}
 	if slices.Index(order, b) > slices.Index(order, a) {
 		return b
 	}
@@ -364,6 +400,7 @@
 		ColdTotal:      toDuration(e.wait + e.cold + e.roundTrip),
 		Requests:       e.requests,
 		Free:           e.wait == 0,
+		Limited:        s.limit.inForce(),
 		Unmeasured:     !t.routeServiceTimes(q.Route).hasSamples(),
 		MaxConnections: t.connectionLimit(p),
 		DialTimeout:    t.dialTimeout(s),
--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -13,7 +13,10 @@
 // the work on requests that time out is wasted, an overload would sustain itself. Only reports
 // of endpoints where requests wait are told, so there are few under low load.
 //
-// Both are told to neighbours, and passed on by nodes to which they are new. The logs of a
+// Limits that endpoints name: a node that has not heard of one would send as many requests as
+// before (limit.go). Each change is told.
+//
+// All are told to neighbours, and passed on by nodes to which they are new. The logs of a
 // node and its messages are bounded; what exceeds the bounds is lost, and found out by
 // requests.
 
@@ -27,6 +30,7 @@
 	// maxGossipTold bounds the replicas and the reports of a message, less than 20 bytes each:
 	// a neighbour is sent at most 6 KB/s.
 	maxGossipTold = 32
+	maxLimitsTold = 64 // limits in a message, less than 30 bytes each, while they change
 	// minReportAge is the age of a known report from which a newer one of the same endpoint is
 	// told. It is shorter than the time constant of the decay of reports.
 	minReportAge = 250 * time.Millisecond
@@ -38,8 +42,9 @@
 
 // Gossip is a message of one node to another.
 type Gossip struct {
-	Replicas []Replica    `cbor:"copies,omitempty"`
-	Full     []LoadReport `cbor:"full,omitempty"`
+	Replicas []Replica     `cbor:"copies,omitempty"`
+	Full     []LoadReport  `cbor:"full,omitempty"`
+	Limits   []LimitReport `cbor:"limits,omitempty"`
 }
 
 // Replica is an endpoint other than an object's primary one that has the object cached.
@@ -62,7 +67,7 @@
 type Hash uint64
 
 // GossipPosition is what a node has been told of another one's log. The zero value: nothing.
-type GossipPosition struct{ replicas, reports uint64 }
+type GossipPosition struct{ replicas, reports, limits uint64 }
 
 // replicaLog holds the latest replicas that a node has learned of.
 type replicaLog struct {
@@ -107,6 +112,11 @@
 	}
 	l.reports = append(l.reports, r)
 	l.end++
+	l.wake()
+}
+
+// wake wakes the goroutines that wait for the next report.
+func (l *reportLog) wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -132,10 +142,12 @@
 	var g Gossip
 	g.Replicas, after.replicas = t.replicas.since(after.replicas)
 	g.Full, after.reports = t.reports.since(now, after.reports)
+	g.Limits, after.limits = t.limitsSince(now, after.limits)
 	return g, after
 }
 
-// NextReport returns a channel that is closed when a full endpoint has been reported.
+// NextReport returns a channel that is closed when a full endpoint or a changed limit has been
+// reported.
 func (t *Table) NextReport() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -166,6 +178,9 @@
 			s.load.recordReport(at, r.Requests, s.inFlight)
 		}
 	}
+	for _, r := range g.Limits[:min(len(g.Limits), maxLimitsTold)] {
+		t.learnLimit(now, r)
+	}
 }
 
 // recordReplica adds a replica that a request of this node has created to the log.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -59,6 +59,7 @@
 	roundTrips     map[inventory.DomainID]time.Duration // absent: not measured yet
 	replicas       replicaLog
 	reports        reportLog
+	limits         limitLog
 	choices        uint64    // number of choices made
 	storeLost      bool      // the store cannot be reached
 	storeLostAt    time.Time // when it last became unreachable
--- a/member/member.go
+++ b/member/member.go
@@ -176,6 +176,17 @@
 	return alive
 }
 
+// PeerAddress returns the address at which other nodes reach a node, and whether it is known.
+func (t *Table) PeerAddress(id inventory.EntryID) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := slices.BinarySearchFunc(t.entries, id, func(e Entry, id inventory.EntryID) int { return cmp.Compare(e.ID, id) })
+	if !ok {
+		return "", false
+	}
+	return t.entries[i].PeerAddress, true
+}
+
 // List returns all entries in the store, sorted by id.
 func (t *Table) List() []Entry {
 	t.mu.Lock()
