node: requests to endpoints with a limit need a permit

Class: a bound on a sum over all nodes that each node sees a part of.

Change: a request to an endpoint with a limit obtains a permit from one of the endpoint's issuers, in one round trip on the nodes' own connections. Without one it goes elsewhere at once; what fits nowhere is rejected with a delay after which there is room. The same class elsewhere: cold endpoints (chosen senders) and the retry budget (shares) were built as sums; connections to an endpoint are divided.

--- a/node/follow.go
+++ b/node/follow.go
@@ -316,6 +316,7 @@
 	}
 	n.storeState.mu.Unlock()
 	n.members.SetEntries(entries)
+	n.setPermitPeers(entries)
 	n.relay.SetPeers(peers)
 	ids := n.members.Entries()
 	n.endpoints.SetColdSenders(endpoint.ColdSenders{Self: n.settings.Load().ID, Entries: ids})
--- a/node/node.go
+++ b/node/node.go
@@ -28,12 +28,14 @@
 	"github.com/looplab/fsm"
 	"k8s.io/klog/v2"
 
+	"github.com/wasabiwheel/wasabiwheel/admission"
 	"github.com/wasabiwheel/wasabiwheel/discovery"
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/exchange"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/lookup"
 	"github.com/wasabiwheel/wasabiwheel/member"
+	"github.com/wasabiwheel/wasabiwheel/permit"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/retry"
 	"github.com/wasabiwheel/wasabiwheel/route"
@@ -125,6 +127,9 @@
 	endpoints     *endpoint.Table
 	members       *member.Table
 	retries       *retry.Budget
+	returns       *admission.Returns
+	permits       *permit.Table
+	permitClient  *http.Client
 	pool          *exchange.Pool
 	mirror        *discovery.Mirror
 	follower      *discovery.Follower
@@ -170,6 +175,9 @@
 	n.plan.Store(&discovery.Plan{})
 	n.endpoints = endpoint.New(s.regions(), s.Bounds.endpointBounds())
 	n.members = member.New(n.entry())
+	n.returns = admission.NewReturns()
+	n.permits = permit.New(s.ID)
+	n.permitClient = newPermitClient(n.network)
 	n.pool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
 	n.storeState = newStoreState()
 	followed := []platform.Collection{platform.Configurations, platform.Endpoints, platform.Drains, platform.Entries}
@@ -260,11 +268,14 @@
 			n.metrics.increment("pause")
 			klog.InfoS("paused", "for", gap)
 			n.relay.DiscardHeartbeats()
+			n.endpoints.Paused(gap)
+			n.permits.Paused(now)
 			n.follower.Refresh()
 		}
 		for _, e := range n.endpoints.Tick(now) {
 			n.forgetEndpoint(e, "not registered again after the store recovered")
 		}
+		n.permits.Tick(now)
 		n.pool.CloseExpired(now)
 	}
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -68,6 +68,7 @@
 		defer subscribers.Add(-1)
 		n.serveSubscriber(w, r)
 	})
+	mux.HandleFunc("POST "+pathPermits, n.servePermit)
 	return mux
 }
 
--- a/node/request.go
+++ b/node/request.go
@@ -36,11 +36,12 @@
 	received   time.Time
 	deadline   time.Time // the earlier of the caller's and the route's
 
-	attempts     []attempt
-	refused      *attempt            // the best endpoint, if the request was rejected as late
-	expectedTime time.Duration       // expected time there
-	allowedTime  time.Duration       // the longest time that admission allows
-	excluded     endpoint.Exclusions // why endpoints were excluded, if none was available
+	attempts      []attempt
+	deniedPermits int                 // permits that the request asked for in vain
+	refused       *attempt            // the best endpoint, if the request was rejected as late
+	expectedTime  time.Duration       // expected time there
+	allowedTime   time.Duration       // the longest time that admission allows
+	excluded      endpoint.Exclusions // why endpoints were excluded, if none was available
 }
 
 // attempt is an attempt of a request at an endpoint, for the log.
--- a/node/steer.go
+++ b/node/steer.go
@@ -31,7 +31,7 @@
 	n.retries.RecordRequest(req.received, req.service)
 	var last response
 	sent := 0
-	for range req.route.Attempts + maxUnsentAttempts {
+	for range req.route.Attempts + maxUnsentAttempts + maxDeniedInAll {
 		now := time.Now()
 		if isCanceled(ctx) {
 			return n.callerLeft()
@@ -40,6 +40,9 @@
 		if refused != nil {
 			return preferPrevious(last, *refused)
 		}
+		if choice.Limited && !n.obtainPermit(ctx, req, choice) {
+			continue
+		}
 		if sent > 0 && !n.retries.AllowRetry(now, req.service) {
 			n.metrics.increment("retry.refused")
 			return last
@@ -103,17 +106,27 @@
 		Homes:     req.route.HomeRegions,
 		Objective: req.route.Objective.Duration,
 		Tried:     req.triedEndpoints(),
+		Unlimited: req.deniedPermits >= maxDeniedPermits,
 	}
 	choice, reason := n.endpoints.Choose(now, query)
+	if reason == endpoint.ReasonLimit && query.Unlimited && req.deniedPermits < maxDeniedInAll {
+		query.Unlimited = false
+		choice, reason = n.endpoints.Choose(now, query)
+	}
 	if reason != "" {
 		req.excluded = n.endpoints.Excluded(now, query)
+		if reason == endpoint.ReasonLimit {
+			resp := n.limitedResponse(now, req, query)
+			return endpoint.Choice{}, &resp
+		}
 		resp := notRun(caller.Reason(reason), admission.RetryAfter(defaultRetryAfter, remaining))
 		return endpoint.Choice{}, &resp
 	}
-	decision := admission.Decide(
-		admission.Request{Priority: req.route.Priority, Objective: req.route.Objective.Duration, Left: remaining},
-		admission.Estimate{Wait: choice.Wait, Run: choice.NominalRun, WarmRun: choice.WarmRun, Unmeasured: choice.Unmeasured})
+	decision := req.admit(choice, remaining)
 	if !decision.Admit {
+		if spare, ok := n.chooseLimited(now, req, query); ok {
+			return spare, nil
+		}
 		refused := newAttempt(choice, "refused", 0)
 		req.refused, req.expectedTime, req.allowedTime = &refused, decision.Takes, decision.Bound
 		resp := notRun(ReasonLate, decision.RetryAfter)
@@ -122,6 +135,27 @@
 	return choice, nil
 }
 
+// admit decides whether a request may be sent to the chosen endpoint.
+func (req *request) admit(c endpoint.Choice, remaining time.Duration) admission.Verdict {
+	return admission.Decide(
+		admission.Request{Priority: req.route.Priority, Objective: req.route.Objective.Duration, Left: remaining},
+		admission.Estimate{Wait: c.Wait, Run: c.NominalRun, WarmRun: c.WarmRun, Unmeasured: c.Unmeasured})
+}
+
+// chooseLimited returns an endpoint with a limit for a request that would be late at those
+// without one, if there may be a permit.
+func (n *Node) chooseLimited(now time.Time, req *request, q endpoint.Query) (endpoint.Choice, bool) {
+	if req.deniedPermits > maxDeniedPermits {
+		return endpoint.Choice{}, false
+	}
+	q.Unlimited, q.Mixed = false, true
+	c, reason := n.endpoints.Choose(now, q)
+	if reason != "" || !c.Limited || !req.admit(c, req.remaining(now)).Admit {
+		return endpoint.Choice{}, false
+	}
+	return c, true
+}
+
 // attempt sends a request to an endpoint, after Table.Start has counted it there. unsent
 // reports that nothing was sent.
 func (n *Node) attempt(ctx context.Context, req *request, c endpoint.Choice) (resp response, unsent bool) {
--- a/permit/issue.go
+++ b/permit/issue.go
@@ -14,8 +14,11 @@
 // The reasons.
 const (
 	ReasonRate      Reason = "rate"      // the permits of the rate have been issued
-	ReasonNotIssuer Reason = "notissuer" // this node is no issuer of the endpoint
-	ReasonNew       Reason = "new"       // this node has been an issuer for less than a Window
+	ReasonNotIssuer Reason = "notissuer" // the node that was asked is no issuer of the endpoint
+	ReasonNew       Reason = "new"       // the issuer has been one for less than a Window
+	// The sender's own reasons.
+	ReasonUnasked    Reason = "unasked"    // no issuer has a permit now, as the sender knows
+	ReasonUnanswered Reason = "unanswered" // the issuer did not respond
 )
 
 // Reply answers a request for a permit. The zero Reason means that it was issued.
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -54,7 +54,7 @@
 	// without requests.
 	burst       = 0.5
 	maxWait     = 10 * time.Second // longest wait that a reply states
-	failureTime = time.Second      // for which an issuer that did not respond is not asked
+	failureTime = 3 * time.Second  // for which an issuer that did not respond is not asked
 	idleTime    = 30 * time.Second // after which what is known of an unused endpoint is dropped
 )
 
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -185,7 +185,7 @@
 		_, ok = table.Issuer(epoch.Add(time.Second), e)
 		convey.So(ok, convey.ShouldBeFalse)
 		convey.So(table.NextPermit(epoch.Add(time.Second), e).After(epoch.Add(time.Second)), convey.ShouldBeTrue)
-		again, _ := table.Issuer(epoch.Add(4*time.Second), e)
+		again, _ := table.Issuer(epoch.Add(5*time.Second), e)
 		convey.So(again, convey.ShouldEqual, first)
 	})
 	convey.Convey("None without nodes", t, func() {
