soak: endpoints name limits, and the check of them

A third of the endpoints name a limit of 2 a second from a quarter to three quarters of a run, while the faults of its plan go on; requests of nodes without faults are checked against it.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -6,8 +6,8 @@
 // All nodes rank the endpoints of a service for an object by the same rendezvous hashing over
 // the same registrations, so an object is served where it was served before, whichever node
 // its callers use. Nodes tell each other which other endpoints have an object cached
-// and which are full (see Gossip), but not their health. Bounds on the sum over all nodes are
-// divided among them (see ColdSenders).
+// which are full, and which limits they name (see Gossip), but not their health. Bounds on the
+// sum over all nodes are divided among them (see ColdSenders), or kept by package permit.
 //
 // The package does no I/O and starts no goroutines. Methods take the current time as an
 // argument and are safe for concurrent use. A table has one lock.
--- a/node/node.go
+++ b/node/node.go
@@ -4,10 +4,10 @@
 // A node listens for requests, lookups, readiness checks, other nodes and operators. It
 // serves callers once it has read a configuration, the endpoints and the drains.
 //
-// Nodes exchange heartbeats and the changes of the store only. Each node decides on its
-// callers' requests independently.
+// Nodes exchange heartbeats, the changes of the store, news of endpoints, and permits for
+// endpoints that name a limit. Each node decides on its callers' requests independently.
 //
-// The tables (endpoints, members, retries, connections) each have their own lock, and none
+// The tables (endpoints, members, retries, permits, connections) each have their own lock, and none
 // calls another, so at most one of these locks is held at a time.
 //
 // # Usage
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -104,24 +104,26 @@
 	routes    map[inventory.RouteID]inventory.Route
 	coldRates map[inventory.ServiceID]float64
 
-	mu           sync.Mutex
-	states       map[string]*requestState
-	onceRuns     map[string]int // runs of each request that may run only once; never dropped
-	refused      map[string]bool
-	faults       map[Scope][]faultInterval
-	versions     []version
-	applied      map[int]appliedVersion
-	drained      map[inventory.DomainID]time.Time
-	leaving      map[inventory.EndpointID]time.Time
-	coldUntil    map[inventory.EndpointID]time.Time // time until which each endpoint is cold
-	sent         map[inventory.ServiceID][]time.Time
-	arrivals     map[inventory.ServiceID][]arrival
-	coldArrivals map[inventory.EndpointID][]time.Time
-	exited       map[int]exitTime
-	deadLookups  int
-	lateAnswers  int
-	violations   []Violation
-	Totals       Totals
+	mu            sync.Mutex
+	states        map[string]*requestState
+	onceRuns      map[string]int // runs of each request that may run only once; never dropped
+	refused       map[string]bool
+	faults        map[Scope][]faultInterval
+	versions      []version
+	applied       map[int]appliedVersion
+	drained       map[inventory.DomainID]time.Time
+	leaving       map[inventory.EndpointID]time.Time
+	coldUntil     map[inventory.EndpointID]time.Time // time until which each endpoint is cold
+	sent          map[inventory.ServiceID][]time.Time
+	arrivals      map[inventory.ServiceID][]arrival
+	coldArrivals  map[inventory.EndpointID][]time.Time
+	limitedSince  map[inventory.EndpointID]time.Time // since when each endpoint names a limit
+	limitArrivals map[inventory.EndpointID][]time.Time
+	exited        map[int]exitTime
+	deadLookups   int
+	lateAnswers   int
+	violations    []Violation
+	Totals        Totals
 }
 
 // Totals counts the requests, lookups and faults of a run.
@@ -139,6 +141,7 @@
 		drained: map[inventory.DomainID]time.Time{}, leaving: map[inventory.EndpointID]time.Time{},
 		coldUntil: map[inventory.EndpointID]time.Time{}, sent: map[inventory.ServiceID][]time.Time{},
 		arrivals: map[inventory.ServiceID][]arrival{}, coldArrivals: map[inventory.EndpointID][]time.Time{},
+		limitedSince: map[inventory.EndpointID]time.Time{}, limitArrivals: map[inventory.EndpointID][]time.Time{},
 		exited: map[int]exitTime{},
 	}
 	for _, r := range conf.Routes {
@@ -267,6 +270,7 @@
 	}
 	c.checkBudget(now, e.Service, r.arrivals > 1)
 	c.checkCold(now, r, e)
+	c.checkLimit(now, r, e)
 	c.checkDrain(now, r, e)
 }
 
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -126,6 +126,7 @@
 	once := func(id string) []step { return []step{served(1, id, "browse", here)} }
 	late := func(id string) []step { return []step{served(1, id, "browse", here), answered(4, id, good)} }
 	cold := func(c *soak.Checker) { c.SetCold("e1", at(3)) }
+	limited := func(since float64) step { return func(c *soak.Checker) { c.SetLimited("e1", at(since)) } }
 	cases := map[string]struct {
 		steps     []step
 		guarantee string // "": no violation
@@ -148,6 +149,11 @@
 		"too many further attempts":     {[]step{each(70, repeated)}, "budget"},
 		"a cold endpoint":               {[]step{cold, each(8, once)}, ""},
 		"an overloaded cold endpoint":   {[]step{cold, each(9, once)}, "cold"},
+		"a limited endpoint":            {[]step{limited(-8), each(17, once)}, ""},
+		"an overrun limited endpoint":   {[]step{limited(-8), each(18, once)}, "limit"},
+		"a limit that is new":           {[]step{limited(-6), each(18, once)}, ""},
+		"a limit that has ended":        {[]step{limited(-8), func(c *soak.Checker) { c.SetLimited("e1", time.Time{}) }, each(18, once)}, ""},
+		"a limit, and a faulty node":    {[]step{limited(-8), faulted(node1, 0, 0.1), each(18, once)}, ""},
 
 		"a drained domain, within the bound":              {[]step{drained(1), served(5.9, "a", "browse", here)}, ""},
 		"a drained domain":                                {[]step{drained(1), served(6.1, "a", "browse", here)}, "drain"},
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/caller"
@@ -38,7 +39,8 @@
 	checker          *Checker
 	proxy            *standin.Proxy
 
-	outage sync.Mutex // held from a crash or leave until the restart
+	limited atomic.Bool // it names a limit
+	outage  sync.Mutex  // held from a crash or leave until the restart
 }
 
 func newTestEndpoint(e inventory.Endpoint, listenAddress string, store *platform.Client, checker *Checker) *testEndpoint {
@@ -51,7 +53,7 @@
 }
 
 func (t *testEndpoint) normalBehaviour() standin.Behaviour {
-	return standin.Behaviour{Work: meanWork, Spread: meanWork, Slots: t.Slots, Backlog: backlog, WarmObjects: warmObjects, WarmGain: 0.7}
+	return standin.Behaviour{Work: meanWork, Spread: meanWork, Slots: t.Slots, Backlog: backlog, WarmObjects: warmObjects, WarmGain: 0.7, Limit: t.limitText()}
 }
 
 // start serves and registers the endpoint. One that starts during a run is cold.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -102,6 +102,7 @@
 	case FaultBadAnswer:
 		behaviour := answerFaults[e.Variant%len(answerFaults)]
 		behaviour.Work, behaviour.Spread, behaviour.Slots, behaviour.Backlog = b.Work, b.Spread, b.Slots, b.Backlog
+		behaviour.Limit = b.Limit
 		endpoint.applyBehaviour(behaviour, e.For)
 	case FaultFlap:
 		for began := time.Now(); time.Since(began) < e.For; {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,8 +123,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var running, faults sync.WaitGroup
+	duration := time.Duration(0)
+	if len(plan) > 0 {
+		duration = plan[len(plan)-1].At
+	}
 	for _, task := range []func(context.Context){
 		func(ctx context.Context) { h.generateLoad(ctx, requestRate) }, h.checkLookups, h.watchStalls, h.watchProcesses,
+		func(ctx context.Context) { h.nameLimits(ctx, duration) },
 	} {
 		running.Go(func() { task(ctx) })
 	}
