--- a/admission/returns.go
+++ b/admission/returns.go
@@ -1,8 +1,8 @@
 package admission
 
 // Returns of rejected callers. Endpoints that name limits serve a known number of requests a
-// second, so callers that are rejected for a lack of permits are told to return at times that are
-// that far apart. All of them at the first permit would be rejected again but for one.
+// second. Callers that are rejected for lack of a permit are told to return one after the other at
+// that rate: if all returned for the next permit, all but one would be rejected again.
 
 import (
 	"sync"
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxReturn bounds the delay that a caller is told: what is known of the limits is not
-	// known for longer.
+	// maxReturn bounds the delay that a caller is told: endpoints change or withdraw their
+	// limits within seconds.
 	maxReturn = 10 * time.Second
 	// minReturnRate bounds the time between two returns, in requests a second.
 	minReturnRate = 0.1
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -80,7 +80,7 @@
 	ColdTotal  time.Duration // Wait plus NominalRun if the object is not cached
 	Requests   float64       // estimated requests at the endpoint
 	Free       bool          // no wait is expected
-	Limited    bool          // the request needs a permit
+	Limited    bool          // the endpoint names a limit: the request needs a permit
 	Unmeasured bool          // no request of the route has been served yet, so service times are defaults
 	// MaxConnections is the number of connections that this node may have to the endpoint.
 	// DialTimeout is the timeout for opening one; 0: unknown.
@@ -179,10 +179,11 @@
 	return 0
 }
 
-// rank returns the usable endpoints with the highest scores, in descending order. Of endpoints
-// with a limit it returns the first one, if that ranks before all others: what exceeds the limit
-// goes to the first endpoint without one, where the object is then cached, too. If there is no
-// other endpoint, all with a limit are ranked. If none is usable, rank returns the reason.
+// rank returns the usable endpoints with the highest scores, in descending order. Of those with a
+// limit it returns only the first one, and only if that ranks before all without a limit:
+// otherwise an object would be cached at many endpoints that may serve it only now and then. If
+// all endpoints have limits, they are ranked like others. If none is usable, rank returns the
+// reason.
 func (t *Table) rank(now time.Time, p *pool, q Query) (best []candidate, reason Reason) {
 	best, limited := t.scan(now, p, q, q.Mixed)
 	switch {
--- a/endpoint/limit.go
+++ b/endpoint/limit.go
@@ -22,8 +22,7 @@
 	// refreshLimitAge is the age from which a limit that is heard again is told again, so that
 	// what others know of it does not grow old.
 	refreshLimitAge = 20 * time.Second
-	// maxLimitRate bounds the limits that are believed, in requests a second. Above it, a limit
-	// is none for an endpoint.
+	// maxLimitRate is the rate above which a limit restricts nothing.
 	maxLimitRate inventory.Rate = 1e6
 )
 
@@ -52,7 +51,7 @@
 type knownLimit struct {
 	Limit
 	at        time.Time // when the endpoint said so; zero: it never named a limit
-	toldAt    time.Time // when the statement was made that was last told to other nodes
+	toldAt    time.Time // when the endpoint made the statement that was last told to other nodes
 	heldUntil time.Time // until when there is no permit for this node
 }
 
@@ -192,7 +191,8 @@
 	t.setLimit(s, now.Add(-time.Duration(r.Age)*time.Millisecond), Limit{Rate: inventory.Rate(r.Rate), Named: r.Named})
 }
 
-// Paused records that the process did not run for a while: what it knows is that much older.
+// Paused records that the process did not run for a time that its clock does not count: what it
+// knows is that much older.
 func (t *Table) Paused(gap time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
