platform, discovery: the era of the store, and a log line for each list

The logs could not tell whether changes were ignored as old or never received. The client now reads the era that each response of the store names, and a node logs each list with its era, its revision and the revision known before.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -42,9 +42,9 @@
 // Store is the part of the platform's store client that a Manager uses.
 type Store interface {
 	List(ctx context.Context, kind platform.Collection) (platform.Listing, error)
-	Get(ctx context.Context, kind platform.Collection, name string) (platform.Object, error)
-	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Object, error)
-	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Object, error)
+	Get(ctx context.Context, kind platform.Collection, name string) (platform.Written, error)
+	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Written, error)
+	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Written, error)
 	Delete(ctx context.Context, kind platform.Collection, name string) error
 }
 
@@ -90,7 +90,7 @@
 		if err != nil {
 			return err
 		}
-		c, err := platform.DecodeConfiguration(o)
+		c, err := platform.DecodeConfiguration(o.Object)
 		current = Current{Configuration: c, revision: o.Revision}
 		return err
 	})
@@ -153,7 +153,7 @@
 // same write, whose response was lost, took effect. If a later version is in force,
 // only the history can show who wrote this one.
 func (m *Manager) resolveConflict(ctx context.Context, own inventory.Version, spec any, uncertain bool) error {
-	var current platform.Object
+	var current platform.Written
 	err := m.retry(ctx, func() (err error) {
 		current, err = m.store.Get(ctx, platform.Configurations, platform.CurrentConfiguration)
 		return err
@@ -161,7 +161,7 @@
 	if err != nil {
 		return &Error{Op: "publish", Kind: KindUncertain, Err: err}
 	}
-	c, err := platform.DecodeConfiguration(current)
+	c, err := platform.DecodeConfiguration(current.Object)
 	if err != nil {
 		return &Error{Op: "publish", Kind: KindStore, Err: err}
 	}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -63,6 +63,8 @@
 	Reached()
 	// Failed reports that a call failed. The Follower retries it.
 	Failed(kind platform.Collection, cause error)
+	// Listed reports that a collection was listed, and what was known of it before.
+	Listed(kind platform.Collection, l platform.Listing, known Position)
 }
 
 // Follower reads collections of the store into a mirror while reading is enabled.
@@ -243,6 +245,7 @@
 	if at == 0 || relist {
 		l, err := f.store.List(ctx, kind)
 		if err == nil {
+			f.observer.Listed(kind, l, f.mirror.Position(kind))
 			f.mirror.ApplyListing(kind, l)
 		}
 		return err
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -64,6 +64,8 @@
 // Failed does nothing; the follower retries the call.
 func (s *sink) Failed(platform.Collection, error) {}
 
+func (s *sink) Listed(platform.Collection, platform.Listing, discovery.Position) {}
+
 func (s *sink) spec(name string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -230,17 +230,28 @@
 	return c.at
 }
 
+// Position returns the position of a collection.
+func (m *Mirror) Position(kind platform.Collection) Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.collections[kind].position(kind)
+}
+
+func (c *collection) position(kind platform.Collection) Position {
+	p := Position{Kind: kind, At: c.at, Newest: c.newest}
+	if !c.complete {
+		p.At = 0
+	}
+	return p
+}
+
 // Positions returns the position of each collection.
 func (m *Mirror) Positions() []Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var all []Position
 	for kind, c := range m.collections {
-		p := Position{Kind: kind, At: c.at, Newest: c.newest}
-		if !c.complete {
-			p.At = 0
-		}
-		all = append(all, p)
+		all = append(all, c.position(kind))
 	}
 	slices.SortFunc(all, func(a, b Position) int { return strings.Compare(string(a.Kind), string(b.Kind)) })
 	return all
--- a/node/follow.go
+++ b/node/follow.go
@@ -109,6 +109,11 @@
 	klog.InfoS("store call failed", "collection", kind, "cause", cause)
 }
 
+// Listed logs that a collection was listed by this node.
+func (n *Node) Listed(kind platform.Collection, l platform.Listing, known discovery.Position) {
+	klog.InfoS("listed", "collection", kind, "count", len(l.Objects), "era", l.Era, "revision", l.At, "known", known.At)
+}
+
 // Changed applies the changes of a collection.
 func (n *Node) Changed(kind platform.Collection, events []platform.Event) {
 	switch kind {
--- a/node/node.go
+++ b/node/node.go
@@ -104,8 +104,8 @@
 // Store is the part of the platform's store that a node uses.
 type Store interface {
 	discovery.Store
-	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Object, error)
-	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Object, error)
+	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Written, error)
+	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Written, error)
 	Delete(ctx context.Context, kind platform.Collection, name string) error
 }
 
--- a/standin/registrar.go
+++ b/standin/registrar.go
@@ -16,8 +16,8 @@
 
 // Store is the store in which endpoints register.
 type Store interface {
-	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Object, error)
-	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Object, error)
+	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Written, error)
+	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Written, error)
 	Delete(ctx context.Context, kind platform.Collection, name string) error
 }
 
