discovery, node, configuration: the order of changes is the era of the store and then the revision

The nodes also listed all collections twice a second.

Cause: a change counted only if its revision was above the known one; after a restore revisions are assigned again. Version 13 had the revision that version 11 had before.

Now a copy of a collection is of one era. A list of a later era replaces it, everything else of another era is ignored, and neighbours are compared by era and revision. What is newer by its writer's own word than the restored copy, or is missing there, is retained over it for a time that depends on the collection, since the copy's silence proves nothing; nodes tell it to those that start. Nodes write their entries again, spread in time; budgets are divided by what is retained meanwhile. The next version that 'apply' writes after a restore skips numbers, so that nodes don't refuse it.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -8,6 +8,10 @@
 // however late they arrive. The content of the object then identifies the version
 // that was accepted.
 //
+// The store may be restored from an older copy and lose its newest versions, which may still
+// be in force at nodes. The first version that is published after a restore therefore skips
+// numbers, so that it is higher than each of them.
+//
 // Each accepted file is stored as a release, so that it can be published again.
 // Drains are separate objects and persist across versions.
 //
@@ -39,6 +43,14 @@
 	maxBackoff = 2 * time.Second
 )
 
+// restoreSkip is the number of versions that are skipped after a restore of the store. It is
+// more than are published in the minutes that a copy may lack.
+const restoreSkip = 1000
+
+// maxUnrecorded is the number of consecutive versions that may not be recorded, as while
+// several operators publish.
+const maxUnrecorded = 16
+
 // Store is the part of the platform's store client that a Manager uses.
 type Store interface {
 	List(ctx context.Context, kind platform.Collection) (platform.Listing, error)
@@ -68,6 +80,7 @@
 	Time    time.Time         `json:"time"`
 	Author  string            `json:"author"`
 	Note    string            `json:"note"`
+	Era     platform.Era      `json:"era,omitempty"` // of the store, when the version was accepted
 	Text    []byte            `json:"text,omitempty"`
 }
 
@@ -75,6 +88,7 @@
 type Current struct {
 	Configuration inventory.Configuration
 	revision      platform.Revision // 0: there is none
+	era           platform.Era
 }
 
 // Current reads the configuration that is in force. Version 0 means that there is
@@ -84,14 +98,14 @@
 	err := m.retry(ctx, func() error {
 		o, err := m.store.Get(ctx, platform.Configurations, platform.CurrentConfiguration)
 		if platform.IsKind(err, platform.KindNotFound) {
-			current = Current{}
+			current = Current{era: o.Era}
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		c, err := platform.DecodeConfiguration(o.Object)
-		current = Current{Configuration: c, revision: o.Revision}
+		current = Current{Configuration: c, revision: o.Revision, era: o.Era}
 		return err
 	})
 	if err != nil {
@@ -115,29 +129,74 @@
 	if c.Base != 0 && c.Base != current.Configuration.Version {
 		return Release{}, &Error{Op: "publish", Kind: KindBaseMismatch, Err: errors.Newf("version %d is in force, not %d", current.Configuration.Version, c.Base)}
 	}
-	next := inv.Configuration(current.Configuration.Version + 1)
-	if err := m.accept(ctx, next, current.revision); err != nil {
+	version, err := m.nextVersion(ctx, current)
+	if err != nil {
+		return Release{}, err
+	}
+	next := inv.Configuration(version)
+	if err := m.accept(ctx, next, current); err != nil {
 		return Release{}, err
 	}
-	r := Release{Version: next.Version, Time: time.Now().UTC(), Author: c.Author, Note: c.Note, Text: c.Text}
+	r := Release{Version: next.Version, Time: time.Now().UTC(), Author: c.Author, Note: c.Note, Era: current.era, Text: c.Text}
 	return r, m.record(ctx, r)
 }
 
-// accept writes a version on the condition that the object is still at revision at.
-func (m *Manager) accept(ctx context.Context, c inventory.Configuration, at platform.Revision) error {
+// nextVersion returns the version after the current one. If the newest recorded version was
+// accepted in another era of the store, later ones may have been lost.
+func (m *Manager) nextVersion(ctx context.Context, current Current) (inventory.Version, error) {
+	version := current.Configuration.Version
+	for recent := version; recent > 0 && version-recent < maxUnrecorded; recent-- {
+		r, err := m.release(ctx, recent)
+		switch {
+		case err != nil:
+			return 0, err
+		case r.Version == 0: // not recorded yet, or its operator failed to
+			continue
+		case r.Era != current.era:
+			return version + 1 + restoreSkip, nil
+		}
+		return version + 1, nil
+	}
+	if version < maxUnrecorded && current.era <= 1 { // the store was never restored
+		return version + 1, nil
+	}
+	return version + 1 + restoreSkip, nil
+}
+
+// release returns the release of a version, with version 0 if there is none.
+func (m *Manager) release(ctx context.Context, v inventory.Version) (Release, error) {
+	var r Release
+	err := m.do(ctx, "read", func() error {
+		o, err := m.store.Get(ctx, platform.Releases, releaseName(v))
+		if platform.IsKind(err, platform.KindNotFound) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(o.Spec, &r)
+	})
+	return r, err
+}
+
+// accept writes a version on the condition that the object is still the current one.
+func (m *Manager) accept(ctx context.Context, c inventory.Configuration, current Current) error {
 	spec := platform.EncodeConfiguration(c)
 	uncertain := false
+	var written platform.Written
 	err := m.retry(ctx, func() error {
 		var err error
-		if at == 0 {
-			_, err = m.store.Create(ctx, platform.Configurations, platform.CurrentConfiguration, spec)
+		if current.revision == 0 {
+			written, err = m.store.Create(ctx, platform.Configurations, platform.CurrentConfiguration, spec)
 		} else {
-			_, err = m.store.Replace(ctx, platform.Configurations, platform.CurrentConfiguration, spec, at)
+			written, err = m.store.Replace(ctx, platform.Configurations, platform.CurrentConfiguration, spec, current.revision)
 		}
 		uncertain = uncertain || platform.IsKind(err, platform.KindUncertain)
 		return err
 	})
 	switch {
+	case err == nil && written.Era != current.era: // the revision may have been another version's
+		return &Error{Op: "publish", Kind: KindUncertain, Err: errors.Newf("the store was restored from an older copy meanwhile; version %d may be older than the one in force", c.Version)}
 	case err == nil:
 		return nil
 	case platform.IsKind(err, platform.KindConflict):
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -146,3 +146,31 @@
 		})
 	}
 }
+
+// TestVersionsAfterRestoreAreHigherThanLostOnes guards against a version that nodes refuse as
+// older than the one that they have in force and that the store has lost.
+func TestVersionsAfterRestoreAreHigherThanLostOnes(t *testing.T) {
+	cases := map[string]int{"one version lost": 1, "many versions lost": 40, "all versions lost": 41}
+	for name, lost := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				convey.Convey("The next version is higher, and the ones after it are consecutive", t, func() {
+					publish := func() inventory.Version {
+						release, err := r.newManager().Publish(r.t.Context(), configuration.Change{Text: text("new")})
+						convey.So(err, convey.ShouldBeNil)
+						return release.Version
+					}
+					var newest inventory.Version
+					for range 41 {
+						newest = publish()
+						time.Sleep(time.Second)
+					}
+					r.platform.Restore(time.Duration(lost)*time.Second + time.Second/2)
+					first := publish()
+					convey.So(first, convey.ShouldBeGreaterThan, newest)
+					convey.So(publish(), convey.ShouldEqual, first+1)
+				})
+			})
+		})
+	}
+}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -11,9 +11,12 @@
 // store is reachable. While the probe fails, no other call is made. When it
 // succeeds again, all watches restart from the last known revision.
 //
+// The store may be restored from an older copy of its own, which begins a new era of its
+// revisions. A process that sees a response of a later era lists all collections again.
+//
 // # Usage
 //
-//	m := discovery.NewMirror(sink, platform.Endpoints, platform.Drains)
+//	m := discovery.NewMirror(sink, policy, platform.Endpoints, platform.Drains)
 //	f := discovery.New(store, m, observer, platform.Drains, platform.Endpoints, platform.Drains)
 //	go f.Run(ctx)
 //	f.SetReading(true)
@@ -79,6 +82,7 @@
 	reading   bool
 	reachable bool          // the last probe succeeded
 	failed    bool          // the last probe failed
+	era       platform.Era  // the latest that a response named
 	probedAt  time.Time     // when the pending probe was sent; zero: none is pending
 	changed   chan struct{} // closed and replaced when reading or failed changes, or by Refresh
 }
@@ -150,12 +154,15 @@
 		}
 		f.setProbedAt(time.Now())
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, err := f.store.ListStale(probeCtx, f.probe)
+		l, err := f.store.ListStale(probeCtx, f.probe)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		f.recordProbe(err, changed)
+		if err == nil {
+			f.recordEra(l.Era)
+		}
 		f.setProbedAt(time.Time{})
 		interval := probeInterval
 		if err != nil {
@@ -241,20 +248,57 @@
 		wait(ctx, changed)
 		cancel()
 	}()
-	at := f.mirror.At(kind)
-	if at == 0 || relist {
-		l, err := f.store.List(ctx, kind)
-		if err == nil {
-			f.observer.Listed(kind, l, f.mirror.Position(kind))
-			f.mirror.ApplyListing(kind, l)
-		}
+	known := f.mirror.Position(kind)
+	if known.At == 0 || relist || f.isBehind(known.Era) {
+		return f.list(ctx, kind, known)
+	}
+	c, err := f.store.Watch(ctx, kind, known.At, watchWait)
+	switch {
+	case err != nil:
 		return err
+	case c.Era != known.Era: // the store may have assigned the revision again
+		f.recordEra(c.Era)
+		return &platform.Error{Op: "watch", Kind: platform.KindCompacted, Name: string(kind)}
 	}
-	c, err := f.store.Watch(ctx, kind, at, watchWait)
-	if err == nil {
-		f.mirror.ApplyChanges(kind, c)
+	f.mirror.ApplyChanges(kind, c)
+	return nil
+}
+
+// list reads a collection in full.
+func (f *Follower) list(ctx context.Context, kind platform.Collection, known Position) error {
+	l, err := f.store.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	f.setEra(l.Era)
+	f.observer.Listed(kind, l, known)
+	f.mirror.ApplyListing(kind, l)
+	return nil
+}
+
+// isBehind reports whether a later era of the store is known than this one.
+func (f *Follower) isBehind(era platform.Era) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return era < f.era
+}
+
+// recordEra records the era that a response named. A later one than before ends the pending
+// watches, so that the collections are listed.
+func (f *Follower) recordEra(era platform.Era) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era > f.era {
+		f.era = era
+		f.notify()
 	}
-	return err
+}
+
+// setEra sets the era of the store to that of a list, which is never stale.
+func (f *Follower) setEra(era platform.Era) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era = era
 }
 
 func isClosed(c chan struct{}) bool {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -101,7 +101,7 @@
 		go func() { _ = server.Serve(l) }()
 		f.operator = platform.New(platform.Options{Address: address, Dialer: network.VM("10.0.0.2"), CallsPerSecond: 1e6})
 		own := platform.New(platform.Options{Address: address, Dialer: network.VM("10.0.0.3")})
-		f.follower = discovery.New(own, discovery.NewMirror(f.sink, "things"), f.sink, "small", "things")
+		f.follower = discovery.New(own, discovery.NewMirror(f.sink, policy{}, "things"), f.sink, "small", "things")
 		f.follower.SetReading(true)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -263,7 +263,7 @@
 				convey.Convey("Its result says nothing about the store now", t, func() {
 					store := &heldStore{release: make(chan error)}
 					s := &sink{objects: map[string]string{}}
-					f := discovery.New(store, discovery.NewMirror(s), s, "small")
+					f := discovery.New(store, discovery.NewMirror(s, policy{}), s, "small")
 					f.SetReading(true)
 					ctx, cancel := context.WithCancel(t.Context())
 					done := make(chan struct{})
--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
@@ -26,9 +27,10 @@
 	Complete(kind platform.Collection)
 }
 
-// Mirror holds collections at the highest known revision. Changes may come from
-// several sources, delayed or repeated; a change that is older than the known
-// state of its object is ignored. Mirror is safe for concurrent use.
+// Mirror holds collections at the highest known revision of the latest known era. Changes
+// may come from several sources, delayed or repeated; a change that is older than the known
+// state of its object, or of an earlier era, is ignored. Only a full list begins a new era
+// (see restore.go). Mirror is safe for concurrent use.
 type Mirror struct {
 	sink Sink
 
@@ -43,9 +45,15 @@
 type collection struct {
 	deliver sync.Mutex
 
+	kind       platform.Collection
+	policy     RestorePolicy
+	era        platform.Era // all revisions are of this era, except of what is retained
 	objects    map[string]platform.Object
-	tombstones map[string]platform.Revision
-	forgotten  platform.Revision // tombstones up to this revision may have been dropped
+	tombstones map[string]tombstone
+	retained   map[string]retained // states of before the era, over objects
+	pending    []Batch             // states to adopt after the first list
+	transition transition          // that began the era
+	forgotten  platform.Revision   // tombstones up to this revision may have been dropped
 	log        []platform.Event
 	logStart   platform.Revision // the log holds all changes after this revision
 	at         platform.Revision // all changes up to this revision are known
@@ -53,47 +61,71 @@
 	complete   bool              // a list has been applied
 }
 
-// Batch is an update of a collection for another process: a full copy, or the
-// changes since a revision.
+// Batch is an update of a collection for another process: a full copy, the changes since a
+// revision, or the changes from the last state in an earlier era.
 type Batch struct {
-	Kind   platform.Collection `cbor:"kind"`
-	Full   bool                `cbor:"whole"`
-	At     platform.Revision   `cbor:"at"`
-	Events []platform.Event    `cbor:"events"`
+	Kind     platform.Collection `cbor:"kind"`
+	Era      platform.Era        `cbor:"era,omitempty"`
+	Full     bool                `cbor:"whole"`
+	From     *Origin             `cbor:"from,omitempty"` // state in an earlier era; nil: none
+	At       platform.Revision   `cbor:"at"`
+	Events   []platform.Event    `cbor:"events"`
+	Retained []Retained          `cbor:"kept,omitempty"` // states of before the era
 }
 
+// IsAfter reports whether the batch leads beyond a position.
+func (b Batch) IsAfter(p Position) bool { return b.Era > p.Era || b.Era == p.Era && b.At > p.At }
+
 // Position is the state of a process's copy of a collection. Revisions count the
 // changes of all collections together, so At also grows when this collection does
 // not change.
 type Position struct {
 	Kind   platform.Collection `cbor:"kind"`
+	Era    platform.Era        `cbor:"era,omitempty"`
 	At     platform.Revision   `cbor:"at"`     // all changes up to this revision are known; 0: the copy is incomplete
 	Newest platform.Revision   `cbor:"newest"` // of the newest known change of this collection
 }
 
 // NewMirror returns an empty mirror of the collections kinds.
-func NewMirror(sink Sink, kinds ...platform.Collection) *Mirror {
+func NewMirror(sink Sink, policy RestorePolicy, kinds ...platform.Collection) *Mirror {
 	m := &Mirror{sink: sink, collections: map[platform.Collection]*collection{}, changed: make(chan struct{})}
 	for _, k := range kinds {
-		m.collections[k] = &collection{objects: map[string]platform.Object{}, tombstones: map[string]platform.Revision{}}
+		m.collections[k] = &collection{kind: k, policy: policy, objects: map[string]platform.Object{}, tombstones: map[string]tombstone{}, retained: map[string]retained{}}
 	}
 	return m
 }
 
-// ApplyListing merges a full list of a collection at a revision.
+// ApplyListing merges a full list of a collection at a revision. A list of a later era
+// replaces the copy; one of an earlier era is ignored.
 func (m *Mirror) ApplyListing(kind platform.Collection, l platform.Listing) {
 	c := m.collections[kind]
 	c.deliver.Lock()
 	defer c.deliver.Unlock()
 	m.mu.Lock()
-	events := c.diff(l)
-	events = c.merge(events, l.At)
+	if c.complete && l.Era < c.era {
+		m.mu.Unlock()
+		return
+	}
+	restored := c.complete && l.Era > c.era
 	first := !c.complete
+	var events []platform.Event
+	if restored {
+		events = c.restore(time.Now(), l)
+	} else {
+		c.era = l.Era
+		events = c.reveal(c.merge(c.diff(l), l.At))
+	}
 	c.complete = true
 	if first {
 		c.logStart = l.At // removals before the list are not in the log
+		for _, b := range c.pending {
+			if b.Era == c.era {
+				events = append(events, c.adopt(time.Now(), b.Retained)...)
+			}
+		}
+		c.pending = nil
 	}
-	m.notifyWaiters(len(events) > 0 || first)
+	m.notifyWaiters(len(events) > 0 || first || restored)
 	m.mu.Unlock()
 	m.notifySink(kind, events)
 	if first {
@@ -101,14 +133,20 @@
 	}
 }
 
-// ApplyChanges merges changes of a collection.
+// ApplyChanges merges changes of a collection. Those of another era than the copy are
+// ignored: changes may be missing in between.
 func (m *Mirror) ApplyChanges(kind platform.Collection, changes platform.Changes) {
 	c := m.collections[kind]
 	c.deliver.Lock()
 	defer c.deliver.Unlock()
 	m.mu.Lock()
+	if changes.Era != c.era {
+		m.mu.Unlock()
+		return
+	}
 	events := c.merge(changes.Events, changes.At)
 	m.notifyWaiters(len(events) > 0)
+	events = c.reveal(events)
 	m.mu.Unlock()
 	m.notifySink(kind, events)
 }
@@ -116,18 +154,52 @@
 // Receive merges a batch from another process. A batch of a collection that is not
 // followed is ignored.
 func (m *Mirror) Receive(b Batch) {
-	if m.collections[b.Kind] == nil {
+	c := m.collections[b.Kind]
+	if c == nil {
 		return
 	}
-	if !b.Full {
-		m.ApplyChanges(b.Kind, platform.Changes{Events: b.Events, At: b.At})
-		return
+	switch {
+	case b.From != nil:
+		m.followTransition(c, b)
+	case b.Full:
+		l := platform.Listing{Era: b.Era, At: b.At}
+		for _, e := range b.Events {
+			l.Objects = append(l.Objects, e.Object)
+		}
+		m.ApplyListing(b.Kind, l)
+	case len(b.Events) > 0 || b.At > 0:
+		m.ApplyChanges(b.Kind, platform.Changes{Events: b.Events, Era: b.Era, At: b.At})
+	}
+	if len(b.Retained) > 0 {
+		m.adopt(c, b)
+	}
+}
+
+// followTransition applies the changes from the last state in an earlier era. A process that
+// has another state finds out that it is behind and lists the collection.
+func (m *Mirror) followTransition(c *collection, b Batch) {
+	m.mu.Lock()
+	l, ok := c.follow(b)
+	m.mu.Unlock()
+	if ok {
+		m.ApplyListing(b.Kind, l)
 	}
-	l := platform.Listing{At: b.At}
-	for _, e := range b.Events {
-		l.Objects = append(l.Objects, e.Object)
+}
+
+// adopt retains what the sender of a batch retains.
+func (m *Mirror) adopt(c *collection, b Batch) {
+	c.deliver.Lock()
+	defer c.deliver.Unlock()
+	m.mu.Lock()
+	var events []platform.Event
+	switch {
+	case !c.complete:
+		c.pending = append(c.pending, b)
+	case b.Era == c.era:
+		events = c.adopt(time.Now(), b.Retained)
 	}
-	m.ApplyListing(b.Kind, l)
+	m.mu.Unlock()
+	m.notifySink(b.Kind, events)
 }
 
 func (m *Mirror) notifySink(kind platform.Collection, events []platform.Event) {
@@ -167,9 +239,7 @@
 // the order of their revisions. All changes up to revision at are known afterwards.
 func (c *collection) merge(events []platform.Event, at platform.Revision) []platform.Event {
 	sorted := slices.Clone(events)
-	slices.SortFunc(sorted, func(a, b platform.Event) int {
-		return cmp.Or(cmp.Compare(a.Object.Revision, b.Object.Revision), strings.Compare(a.Object.Name, b.Object.Name))
-	})
+	slices.SortFunc(sorted, compareEvents)
 	var applied []platform.Event
 	for _, e := range sorted {
 		if c.isNewer(e) { // compared one at a time, since one batch may create and remove an object
@@ -182,19 +252,24 @@
 	return applied
 }
 
+// compareEvents orders events of one era by their revisions.
+func compareEvents(a, b platform.Event) int {
+	return cmp.Or(cmp.Compare(a.Object.Revision, b.Object.Revision), strings.Compare(a.Object.Name, b.Object.Name))
+}
+
 func (c *collection) isNewer(e platform.Event) bool {
 	name := e.Object.Name
 	if known, ok := c.objects[name]; ok {
 		return e.Object.Revision > known.Revision || e.Removed && e.Object.Revision == known.Revision
 	}
-	return !e.Removed && e.Object.Revision > max(c.tombstones[name], c.forgotten)
+	return !e.Removed && e.Object.Revision > max(c.tombstones[name].at, c.forgotten)
 }
 
 func (c *collection) apply(e platform.Event) {
 	name := e.Object.Name
 	if e.Removed {
+		c.tombstones[name] = tombstone{last: c.objects[name], at: e.Object.Revision}
 		delete(c.objects, name)
-		c.tombstones[name] = e.Object.Revision
 		if len(c.tombstones) > maxTombstones {
 			c.forgetTombstones()
 		}
@@ -213,9 +288,13 @@
 // of an object that isn't known is ignored from then on: the copy is complete, so the object
 // has been removed.
 func (c *collection) forgetTombstones() {
-	revisions := slices.Sorted(maps.Values(c.tombstones))
+	var revisions []platform.Revision
+	for _, t := range c.tombstones {
+		revisions = append(revisions, t.at)
+	}
+	slices.Sort(revisions)
 	c.forgotten = max(c.forgotten, revisions[len(revisions)/2])
-	maps.DeleteFunc(c.tombstones, func(_ string, at platform.Revision) bool { return at <= c.forgotten })
+	maps.DeleteFunc(c.tombstones, func(_ string, t tombstone) bool { return t.at <= c.forgotten })
 }
 
 // At returns the revision up to which all changes of a collection are known, or 0
@@ -238,7 +317,7 @@
 }
 
 func (c *collection) position(kind platform.Collection) Position {
-	p := Position{Kind: kind, At: c.at, Newest: c.newest}
+	p := Position{Kind: kind, Era: c.era, At: c.at, Newest: c.newest}
 	if !c.complete {
 		p.At = 0
 	}
@@ -265,17 +344,21 @@
 }
 
 // Since returns the update for a process whose copy is at position p. It returns
-// false if this copy is incomplete or the collection is not followed.
+// false if this copy is incomplete or of an earlier era, or the collection is not followed.
 func (m *Mirror) Since(p Position) (Batch, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.collections[p.Kind]
-	if c == nil || !c.complete {
+	if c == nil || !c.complete || c.era < p.Era {
 		return Batch{}, false
 	}
-	b := Batch{Kind: p.Kind, At: c.at}
-	if p.At == 0 || p.At < c.logStart {
-		b.Full = true
+	b := Batch{Kind: p.Kind, Era: c.era, At: c.at}
+	if t := c.transition; p.At > 0 && p.Era != c.era && p.Era == t.from.Era && p.At >= t.from.Newest {
+		b.From, b.At, b.Events, b.Retained = &t.from, t.at, t.changes, c.retainedStates(time.Now())
+		return b, true
+	}
+	if p.At == 0 || p.Era != c.era || p.At < c.logStart {
+		b.Full, b.Retained = true, c.retainedStates(time.Now())
 		for _, o := range c.objects {
 			b.Events = append(b.Events, platform.Event{Object: o})
 		}
--- a/discovery/mirror_test.go
+++ b/discovery/mirror_test.go
@@ -62,7 +62,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		h := drawHistory(rt)
 		s := &sink{objects: map[string]string{}}
-		m := discovery.NewMirror(s, things)
+		m := discovery.NewMirror(s, policy{}, things)
 		m.ApplyListing(things, h.list(rapid.IntRange(0, len(h.events)).Draw(rt, "first list")))
 		for range rapid.IntRange(0, 12).Draw(rt, "news") {
 			from := rapid.IntRange(0, len(h.events)).Draw(rt, "from")
@@ -94,13 +94,13 @@
 func TestBatchesFromChangingUpstreams(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := drawHistory(rt)
-		sources := []*discovery.Mirror{discovery.NewMirror(&sink{objects: map[string]string{}}, things), discovery.NewMirror(&sink{objects: map[string]string{}}, things)}
+		sources := []*discovery.Mirror{discovery.NewMirror(&sink{objects: map[string]string{}}, policy{}, things), discovery.NewMirror(&sink{objects: map[string]string{}}, policy{}, things)}
 		known := []int{0, 0}
 		for _, s := range sources {
 			s.ApplyListing(things, h.list(0))
 		}
 		receiver := &sink{objects: map[string]string{}}
-		m := discovery.NewMirror(receiver, things)
+		m := discovery.NewMirror(receiver, policy{}, things)
 		sendBatch := func(i int) {
 			b, ok := sources[i].Since(discovery.Position{Kind: things, At: m.At(things)})
 			if ok {
@@ -113,7 +113,7 @@
 			sources[i].ApplyChanges(things, platform.Changes{Events: h.events[known[i]:next], At: platform.Revision(2*next + 1)})
 			known[i] = next
 			if rapid.Bool().Draw(rt, "starts again") {
-				sources[i] = discovery.NewMirror(&sink{objects: map[string]string{}}, things)
+				sources[i] = discovery.NewMirror(&sink{objects: map[string]string{}}, policy{}, things)
 				sources[i].ApplyListing(things, h.list(next))
 			}
 			sendBatch(rapid.IntRange(0, 1).Draw(rt, "feed"))
@@ -135,7 +135,7 @@
 func TestCompleteIsReportedOnce(t *testing.T) {
 	convey.Convey("After the first list", t, func() {
 		s := &sink{objects: map[string]string{}}
-		m := discovery.NewMirror(s, things)
+		m := discovery.NewMirror(s, policy{}, things)
 		convey.So(m.At(things), convey.ShouldEqual, platform.Revision(0))
 		_, ok := m.Since(discovery.Position{Kind: things})
 		convey.So(ok, convey.ShouldBeFalse)
@@ -155,7 +155,7 @@
 	const count = 10_000
 	convey.Convey("A late change restores none of them, and new objects are accepted", t, func() {
 		receiver := &sink{objects: map[string]string{}}
-		m := discovery.NewMirror(receiver, things)
+		m := discovery.NewMirror(receiver, policy{}, things)
 		m.ApplyListing(things, platform.Listing{At: 1})
 		var created []platform.Event
 		at := platform.Revision(1)
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -80,7 +80,7 @@
 
 // missingChange is a change that neighbours have received and this process has not.
 type missingChange struct {
-	revision platform.Revision
+	position Position  // of the neighbour that is ahead most
 	since    time.Time // start of the current period of lagTimeout
 	first    time.Time // since when changes of the collection have been missing
 }
@@ -310,23 +310,31 @@
 // changes keep arriving is not reported.
 func (r *Relay) checkLag(now time.Time, own []Position) bool {
 	reported, lagging := r.newestReported(now), false
-	maps.DeleteFunc(r.missing, func(kind platform.Collection, _ missingChange) bool { return reported[kind] == 0 })
+	maps.DeleteFunc(r.missing, func(kind platform.Collection, _ missingChange) bool {
+		_, isReported := reported[kind]
+		return !isReported
+	})
 	for kind, newest := range reported {
 		known := newestOf(own, kind)
 		m, isMissing := r.missing[kind]
 		switch {
-		case known >= newest:
+		case !newest.isAhead(known):
 			delete(r.missing, kind)
-		case !isMissing || known >= m.revision:
-			r.missing[kind] = missingChange{revision: newest, since: now, first: now}
+		case !isMissing || !m.position.isAhead(known):
+			r.missing[kind] = missingChange{position: newest, since: now, first: now}
 		case now.Sub(m.since) >= lagTimeout:
-			r.missing[kind] = missingChange{revision: newest, since: now, first: m.first}
+			r.missing[kind] = missingChange{position: newest, since: now, first: m.first}
 			lagging = true
 		}
 	}
 	return lagging
 }
 
+// isAhead reports whether the newest change of a position is missing at another one.
+func (p Position) isAhead(other Position) bool {
+	return p.Era > other.Era || p.Era == other.Era && p.Newest > other.Newest
+}
+
 // MissingFor returns for how long this process has lacked a change of a collection that a
 // neighbour has reported, 0 if it lacked none when the last plan was made.
 func (r *Relay) MissingFor(now time.Time, kind platform.Collection) time.Duration {
@@ -341,24 +349,28 @@
 
 // newestReported returns the newest change of each collection that any neighbour has
 // reported.
-func (r *Relay) newestReported(now time.Time) map[platform.Collection]platform.Revision {
-	all := map[platform.Collection]platform.Revision{}
+func (r *Relay) newestReported(now time.Time) map[platform.Collection]Position {
+	all := map[platform.Collection]Position{}
 	for _, hb := range r.heartbeats {
 		if hb.hops == HopsNone || now.Sub(hb.at) > heartbeatTTL {
 			continue
 		}
 		for _, p := range hb.positions {
-			all[p.Kind] = max(all[p.Kind], p.Newest)
+			if p.isAhead(all[p.Kind]) {
+				all[p.Kind] = p
+			}
 		}
 	}
 	return all
 }
 
-func newestOf(positions []Position, kind platform.Collection) platform.Revision {
+// newestOf returns the position of a collection. All changes up to its revision are known.
+func newestOf(positions []Position, kind platform.Collection) Position {
 	for _, p := range positions {
 		if p.Kind == kind {
-			return max(p.At, p.Newest)
+			p.Newest = max(p.At, p.Newest)
+			return p
 		}
 	}
-	return 0
+	return Position{Kind: kind}
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -3,6 +3,7 @@
 // Following the platform's store: configurations, endpoints, drains and entries.
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,11 +21,6 @@
 	"github.com/wasabiwheel/wasabiwheel/route"
 )
 
-const (
-	minBackoff = 300 * time.Millisecond
-	maxBackoff = 3 * time.Second
-)
-
 // storeState is the state of the connection to the store, and the collections that are
 // not held in other tables.
 type storeState struct {
@@ -32,8 +28,10 @@
 	drained        map[inventory.DomainID]bool
 	entries        map[inventory.EntryID]member.Entry
 	complete       map[platform.Collection]bool
+	configuration  []byte    // spec of the configuration in force; used only by applyConfiguration
 	reachedSince   time.Time // since when the store is reachable, directly or through an upstream node
 	lostSince      time.Time // since when it is not; zero: it is reachable
+	era            platform.Era
 	configuredOnce sync.Once
 }
 
@@ -202,6 +200,8 @@
 }
 
 // applyConfiguration puts a configuration in force unless it is older than the current one.
+// After a restore of the store another configuration may be accepted under the version of
+// one that the store has lost; the mirror delivers it after that.
 func (n *Node) applyConfiguration(o platform.Object) {
 	if o.Name != platform.CurrentConfiguration {
 		return
@@ -213,13 +213,15 @@
 		return
 	}
 	before := n.version()
-	if c.Version <= before {
-		if c.Version < before {
-			n.metrics.increment("configuration.older")
-			klog.InfoS("configuration refused", "version", c.Version, "inforce", before, "cause", "older")
-		}
+	switch {
+	case c.Version < before:
+		n.metrics.increment("configuration.older")
+		klog.InfoS("configuration refused", "version", c.Version, "inforce", before, "cause", "older")
+		return
+	case c.Version == before && bytes.Equal(o.Spec, n.storeState.configuration):
 		return
 	}
+	n.storeState.configuration = o.Spec
 	n.endpoints.SetServices(c.Services)
 	n.limits.Store(&c.Limits)
 	if srv := n.requestServer.Load(); srv != nil {
@@ -347,31 +349,6 @@
 	return local
 }
 
-// publishEntry writes this node's entry to the store and retries until a write has been
-// confirmed.
-func (n *Node) publishEntry(ctx context.Context) {
-	backoff := platform.Backoff{Min: minBackoff, Max: maxBackoff}
-	for ctx.Err() == nil {
-		if n.isStoreReached() {
-			err := n.writeEntry(ctx)
-			if err == nil {
-				return
-			}
-			n.Failed(platform.Entries, err)
-		}
-		backoff.Wait(ctx)
-	}
-}
-
-func (n *Node) writeEntry(ctx context.Context) error {
-	e := n.entry()
-	_, err := n.store.Create(ctx, platform.Entries, string(e.ID), e)
-	if platform.IsKind(err, platform.KindConflict) {
-		_, err = n.store.Replace(ctx, platform.Entries, string(e.ID), e, 0)
-	}
-	return err
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/node/node.go
+++ b/node/node.go
@@ -181,7 +181,7 @@
 	n.pool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
 	n.storeState = newStoreState()
 	followed := []platform.Collection{platform.Configurations, platform.Endpoints, platform.Drains, platform.Entries}
-	n.mirror = discovery.NewMirror(n, followed...)
+	n.mirror = discovery.NewMirror(n, restorePolicy{}, followed...)
 	n.follower = discovery.New(n.store, n.mirror, n, platform.Drains, followed...)
 	n.relay = discovery.NewRelay(discovery.Peer{ID: s.ID, Domain: s.Domain})
 	return n
@@ -232,7 +232,7 @@
 	n.background.Go(func() { n.follower.Run(n.ctx) })
 	n.background.Go(func() { n.tick(n.ctx) })
 	n.background.Go(func() { n.maintainSubscriptions(n.ctx) })
-	n.background.Go(func() { n.publishEntry(n.ctx) })
+	n.background.Go(func() { n.maintainEntry(n.ctx) })
 	select {
 	case <-n.configured:
 	case <-ctx.Done():
@@ -275,6 +275,8 @@
 		for _, e := range n.endpoints.Tick(now) {
 			n.forgetEndpoint(e, "not registered again after the store recovered")
 		}
+		n.mirror.Tick(now)
+		n.checkEra()
 		n.permits.Tick(now)
 		n.pool.CloseExpired(now)
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -31,6 +31,7 @@
 	maxMessageBytes   = 16 << 20               // bytes of a message, at most: all collections at once
 	peerRetryInterval = 500 * time.Millisecond // between attempts to connect to another node
 	maxSubscribers    = 128                    // connections of nodes that subscribe to this one: several times its neighbours
+	remoteContactTime = 3 * time.Second        // after the start, for which nodes of other regions are neighbours: the store may have been restored
 	planInterval      = 200 * time.Millisecond // between updates of the plan and the subscriptions
 )
 
@@ -43,7 +44,8 @@
 // subscriber is a node that receives updates, and what it has been sent.
 type subscriber struct {
 	subscribeRequest
-	gossip endpoint.GossipPosition
+	gossip  endpoint.GossipPosition
+	greeted bool // whether it has received the first update
 }
 
 // peerUpdate is a message to a subscriber.
@@ -122,11 +124,15 @@
 	}
 	m.Gossip, to.gossip = n.endpoints.GossipSince(time.Now(), to.gossip)
 	for i, p := range to.Positions {
-		if b, ok := n.mirror.Since(p); ok && to.Feed && b.At > p.At {
+		if b, ok := n.mirror.Since(p); ok && to.Feed && b.IsAfter(p) {
 			m.Batches = append(m.Batches, b)
-			to.Positions[i].At = b.At
+			to.Positions[i].Era, to.Positions[i].At = b.Era, b.At
 		}
 	}
+	if !to.greeted { // a node that starts after a restore has only what the store has
+		m.Batches = append(m.Batches, n.mirror.Retained(time.Now())...)
+		to.greeted = true
+	}
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return err
@@ -220,7 +226,7 @@
 	}
 	candidates := n.relay.Candidates()
 	neighbours := n.members.Neighbours()
-	if plan.Reads && !n.follower.IsReading() {
+	if plan.Reads && !n.follower.IsReading() || time.Since(n.started) < remoteContactTime {
 		neighbours = append(neighbours, n.members.RemoteNodes()...)
 	}
 	for _, e := range n.members.List() {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -85,6 +85,13 @@
 	p.store.compact()
 }
 
+// Restore returns the store to its state a time ago, as from a copy, and begins a new era.
+func (p *Platform) Restore(ago time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.store.restore(time.Now().Add(-ago))
+}
+
 // Counts returns the counts so far.
 func (p *Platform) Counts() Counts {
 	p.mu.Lock()
@@ -105,10 +112,13 @@
 	pathObjects = "/wasabiwheel/objects/"
 	pathFault   = "/fault"
 	pathCompact = "/compact"
+	pathRestore = "/restore"
 )
 
-// ServeHTTP serves the objects. With /fault and /compact, another process can set a
-// fault and drop the history.
+const headerEra = "Store-Era"
+
+// ServeHTTP serves the objects. With /fault, /compact and /restore?ago=DURATION, another
+// process can set a fault, drop the history, and restore an older state.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case pathFault:
@@ -117,7 +127,11 @@
 	case pathCompact:
 		p.Compact()
 		return
+	case pathRestore:
+		p.serveRestore(w, r)
+		return
 	}
+	w = &eraWriter{ResponseWriter: w, platform: p}
 	if !p.admit(w, r) {
 		return
 	}
@@ -146,6 +160,41 @@
 	p.SetFault(f)
 }
 
+func (p *Platform) serveRestore(w http.ResponseWriter, r *http.Request) {
+	ago, err := time.ParseDuration(r.URL.Query().Get("ago"))
+	if err != nil || ago < 0 {
+		http.Error(w, "parameter ago must be a duration", http.StatusBadRequest)
+		return
+	}
+	p.Restore(ago)
+}
+
+// eraWriter sets the header with the era of the store when the response begins.
+type eraWriter struct {
+	http.ResponseWriter
+	platform *Platform
+	started  bool
+}
+
+// WriteHeader begins the response.
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.started {
+		w.started = true
+		w.platform.mu.Lock()
+		w.Header().Set(headerEra, strconv.FormatUint(w.platform.store.era, 10))
+		w.platform.mu.Unlock()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write begins the response if it has not begun.
+func (w *eraWriter) Write(p []byte) (int, error) {
+	if !w.started {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
 // admit applies the faults that precede a call and reports whether to serve it.
 func (p *Platform) admit(w http.ResponseWriter, r *http.Request) bool {
 	p.mu.Lock()
--- a/standin/store.go
+++ b/standin/store.go
@@ -44,13 +44,14 @@
 type store struct {
 	objects     map[key]object
 	revision    uint64
+	era         uint64        // number of times that it was restored, plus one
 	history     []event       // by revision
 	compactedTo uint64        // revision up to which changes were dropped
 	changed     chan struct{} // closed and replaced at each change
 }
 
 func newStore() *store {
-	return &store{objects: map[key]object{}, revision: 1, changed: make(chan struct{})}
+	return &store{objects: map[key]object{}, revision: 1, era: 1, changed: make(chan struct{})}
 }
 
 // change is a write to an object.
@@ -148,6 +149,28 @@
 	s.history, s.compactedTo = nil, s.revision
 }
 
+// restore returns the store to the state of an earlier time. The revisions of what was written
+// since are assigned again.
+func (s *store) restore(at time.Time) {
+	end := len(s.history)
+	for end > 0 && s.history[end-1].at.After(at) {
+		end--
+		e := s.history[end]
+		k := key{e.kind, e.Object.Metadata.Name}
+		view := map[string]object{}
+		s.undo(view, end)
+		delete(s.objects, k)
+		if o, existed := view[k.name]; existed {
+			s.objects[k] = o
+		}
+		s.revision = e.Object.Metadata.Revision - 1
+	}
+	s.history = s.history[:end]
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // list returns a collection at a time, sorted by name, and the revision of that time.
 func (s *store) list(kind string, at time.Time) ([]object, uint64) {
 	now := map[string]object{}
@@ -188,9 +211,9 @@
 }
 
 // since returns the changes of a collection after a revision. gone says that some of
-// them were dropped.
+// them were dropped, or that the store does not have the revision.
 func (s *store) since(kind string, after uint64) (events []event, gone bool) {
-	if after < s.compactedTo {
+	if after < s.compactedTo || after > s.revision {
 		return nil, true
 	}
 	for _, e := range s.history {
