soak: the store returns from an older copy

Once or twice in each run the store is away for up to 2 s and returns from a copy up to 6 s old; the operator publishes and drains again, entries of silent endpoints expire.

--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -40,6 +40,7 @@
 	proxy            *standin.Proxy
 
 	limited atomic.Bool // it names a limit
+	silent  atomic.Bool // it sends no heartbeats
 	outage  sync.Mutex  // held from a crash or leave until the restart
 }
 
@@ -64,6 +65,7 @@
 		t.checker.SetCold(t.ID, time.Now().Add(warmup))
 	}
 	t.checker.SetLeaving(t.ID, time.Time{})
+	t.silent.Store(false)
 	if err := t.Start(t.normalBehaviour(), warmup); err != nil {
 		return &Error{Op: "endpoint", Kind: KindStart, Err: err}
 	}
@@ -79,6 +81,7 @@
 	defer t.outage.Unlock()
 	endFault := t.checker.BeginFault(time.Now(), ScopeOfEndpoint(t.ID))
 	defer func() { endFault(time.Now()) }()
+	t.silent.Store(true)
 	t.End()
 	if d > entryExpiry {
 		time.Sleep(entryExpiry)
@@ -108,6 +111,7 @@
 	announce := t.Drain
 	if removeOnly {
 		announce = t.Remove
+		t.silent.Store(true)
 	}
 	if err := announce(ctx); err == nil { // after an error the store may not have the change, so no bound applies
 		t.checker.SetLeaving(t.ID, time.Now())
@@ -115,6 +119,7 @@
 	time.Sleep(2*time.Second + d)
 	endFault := t.checker.BeginFault(time.Now(), ScopeOfEndpoint(t.ID))
 	defer func() { endFault(time.Now()) }()
+	t.silent.Store(true)
 	t.End()
 	if !removeOnly {
 		_ = t.Remove(ctx) // the store may be unreachable or have removed the entry
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/configuration"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
@@ -192,10 +193,12 @@
 	}
 	defer h.drainMu.Unlock()
 	d := h.inventory.Domains[e.Index].ID
+	h.setDrained(d)
 	if err := h.operator.Drain(ctx, d); err == nil {
 		h.checker.SetDrained(d, time.Now())
 	}
 	time.Sleep(drainBound + e.For)
+	h.setDrained("")
 	h.checker.SetDrained(d, time.Time{})
 	for ctx.Err() == nil && h.operator.Undrain(ctx, d) != nil {
 		time.Sleep(rollInterval)
@@ -207,3 +210,9 @@
 		}
 	}
 }
+
+func (h *harness) setDrained(d inventory.DomainID) {
+	h.operatorMu.Lock()
+	defer h.operatorMu.Unlock()
+	h.drained = d
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,10 +87,11 @@
 	nodeByAddress  map[string]int    // indexes of nodes, by their addresses for callers
 	events         io.Writer
 
-	operatorMu    sync.Mutex // serialises the operator's changes
-	probedService int        // index of the service that probes go to
-	storeMu       sync.Mutex // held during a fault of the store
-	drainMu       sync.Mutex // held while a failure domain is drained
+	operatorMu    sync.Mutex         // serialises the operator's changes
+	probedService int                // index of the service that probes go to
+	drained       inventory.DomainID // the failure domain that is drained; "": none
+	storeMu       sync.Mutex         // held during a fault of the store
+	drainMu       sync.Mutex         // held while a failure domain is drained
 }
 
 // Run runs a soak. It fails with KindStart, or with KindViolated if a guarantee was
@@ -130,6 +131,7 @@
 	for _, task := range []func(context.Context){
 		func(ctx context.Context) { h.generateLoad(ctx, requestRate) }, h.checkLookups, h.watchStalls, h.watchProcesses,
 		func(ctx context.Context) { h.nameLimits(ctx, duration) },
+		func(ctx context.Context) { h.restoreStore(ctx, duration) },
 	} {
 		running.Go(func() { task(ctx) })
 	}
