node, quarantine: fingerprints of requests whose connection broke

The logs could not tell whether the requests that break connections are the same.

Lines of requests with a broken attempt now have method, path and a fingerprint: a cryptographic hash of method, host, path, credentials and body. No decision uses the fingerprint yet.

--- a/node/handler.go
+++ b/node/handler.go
@@ -113,6 +113,9 @@
 	if req.excluded != (endpoint.Exclusions{}) {
 		line = append(line, "excluded", req.excluded)
 	}
+	if req.isBroken() {
+		line = append(line, "method", req.method, "uri", req.uri, "fingerprint", req.identity().Fingerprint().String())
+	}
 	klog.InfoS("request", line...)
 }
 
--- a/node/request.go
+++ b/node/request.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/exchange"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/quarantine"
 	"github.com/wasabiwheel/wasabiwheel/route"
 )
 
@@ -121,6 +123,19 @@
 	return context.WithDeadline(ctx, req.deadline)
 }
 
+// headerAuthorization is the header with the credentials of a caller.
+const headerAuthorization = "Authorization"
+
+// identity returns what makes another request the same one.
+func (req *request) identity() quarantine.Request {
+	return quarantine.Request{Method: req.method, Host: req.host, URI: req.uri, Credentials: req.header.Get(headerAuthorization), Body: req.buffered, Length: req.length}
+}
+
+// isBroken reports whether the connection of an attempt broke before the response was complete.
+func (req *request) isBroken() bool {
+	return slices.ContainsFunc(req.attempts, func(a attempt) bool { return a.result == string(exchange.KindBroken) })
+}
+
 // triedEndpoints returns the endpoints to which the request may not be sent again.
 func (req *request) triedEndpoints() []inventory.EndpointID {
 	var ids []inventory.EndpointID
