quarantine, node, endpoint: requests that crash endpoints are quarantined

Cause: no decision knew what a request had done.

Now a connection that breaks at an endpoint which refuses connections then is evidence against each request that was running there. Three judges by hashing add it up over all nodes; one response of an endpoint clears a request. Until it is proven one node at a time tries it, at the end where fewest others run. After its first crash and those of two probes all nodes reject it with 503, not run.

--- a/cmd/wasabiwheel/main.go
+++ b/cmd/wasabiwheel/main.go
@@ -39,6 +39,7 @@
 	Check      checkCommand      `command:"check" description:"validate settings and inventory files"`
 	Lookup     lookupCommand     `command:"lookup" description:"query a node for the entry VMs to use"`
 	Status     statusCommand     `command:"status" description:"print the status of nodes"`
+	Quarantine quarantineCommand `command:"quarantine" description:"print the requests that are rejected because they crash endpoints, or admit one again"`
 	Load       loadCommand       `command:"load" description:"generate load on nodes and measure latency"`
 	Experiment experimentCommand `command:"experiment" description:"compare traffic steering systems under the same load and faults"`
 	Standin    standinCommand    `command:"standin" description:"run stand-ins for the platform and the targets, for tests"`
--- a/cmd/wasabiwheel/main_test.go
+++ b/cmd/wasabiwheel/main_test.go
@@ -42,6 +42,8 @@
 		"unknown scenario":    {args: []string{"experiment", "--scenario", "none", "--system", "oracle"}, code: exitFailed, stdout: "| deployment", stderr: "none"},
 		"missing flag":        {args: []string{"lookup"}, code: exitUsage, stderr: "node"},
 		"no node responds":    {args: []string{"status", "--admin", "127.0.0.1:1"}, code: exitFailed, stderr: "refused"},
+		"no fingerprint":      {args: []string{"quarantine", "--admin", "127.0.0.1:1", "--lift", "xyz"}, code: exitUsage, stderr: "malformed"},
+		"no node to lift at":  {args: []string{"quarantine", "--admin", "127.0.0.1:1", "--lift", "00112233445566778899aabbccddeeff"}, code: exitFailed, stderr: "refused"},
 		"file does not exist": {args: []string{"check", "--inventory", "no.toml"}, code: exitFailed, stderr: "no.toml"},
 		"unexpected argument": {args: []string{"check", "../../examples/lumbre.toml"}, code: exitUsage, stderr: "lumbre.toml"},
 		"nothing to check":    {args: []string{"check"}, code: exitUsage, stderr: "give"},
--- a/cmd/wasabiwheel/operate_test.go
+++ b/cmd/wasabiwheel/operate_test.go
@@ -72,6 +72,11 @@
 		})
 		got = runCommand("lookup", "--node", d.inv.Entries[0].Lookup, "--region", "centro", "--domain", "centro-b")
 		convey.So(got.out, convey.ShouldContainSubstring, d.inv.Entries[2].Caller)
+		got = runCommand("quarantine", "--admin", d.inv.Entries[0].Admin, "--json")
+		convey.So(got.out, convey.ShouldEqual, "[]\n")
+		got = runCommand("quarantine", "--admin", d.inv.Entries[0].Admin, "--lift", "00112233445566778899aabbccddeeff")
+		convey.So(got.code, convey.ShouldEqual, exitFailed)
+		convey.So(got.errors, convey.ShouldContainSubstring, "not in quarantine")
 		got = runCommand("load", "--node", d.inv.Entries[0].Lookup, "--rate", "50", "--duration", "1s", "--share", "0.2", "--once", "/serve/reservations/", "--json")
 		var r loadReport
 		convey.So(json.Unmarshal([]byte(got.out), &r), convey.ShouldBeNil)
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -56,6 +56,7 @@
 	Tried     []inventory.EndpointID // excluded from the choice
 	Unlimited bool                   // endpoints with a limit are excluded
 	Mixed     bool                   // endpoints with a limit are ranked among the others
+	Isolated  bool                   // the request may crash the endpoint: few others should be there
 }
 
 // key returns what the endpoints are ranked by.
@@ -79,6 +80,7 @@
 	WarmRun    time.Duration // NominalRun if the object is cached
 	ColdTotal  time.Duration // Wait plus NominalRun if the object is not cached
 	Requests   float64       // estimated requests at the endpoint
+	RoundTrip  time.Duration // to the endpoint's failure domain; 0: unknown
 	Free       bool          // no wait is expected
 	Limited    bool          // the endpoint names a limit: the request needs a permit
 	Unmeasured bool          // no request of the route has been served yet, so service times are defaults
@@ -92,6 +94,7 @@
 	object       Object
 	served       bool // the endpoint is known to have served the object recently
 	replica      bool // the endpoint ranks after the primary one
+	isolated     bool // other requests avoid the endpoint meanwhile
 	serviceTimes *serviceTimes
 }
 
@@ -131,6 +134,11 @@
 	if p == nil {
 		return Choice{}, ReasonNone
 	}
+	if q.Isolated {
+		if c, ok := t.chooseIsolated(now, p, q); ok {
+			return c, ""
+		}
+	}
 	best, reason := t.rank(now, p, q)
 	if len(best) == 0 {
 		return Choice{}, reason
@@ -154,8 +162,6 @@
 	}
 	c := t.choice(now, p, q, best[rank].state, rank, chosen)
 	c.replica = rank > primaryRank
-	t.choices++
-	c.id = t.choices
 	return c, ""
 }
 
@@ -364,6 +370,9 @@
 	if slots := float64(s.Slots); e.requests > slots*fullTolerance-1 {
 		e.wait = max(0, e.requests+1-slots) / slots * p.serviceTime.orDefault(e.warm) * e.slowdown
 	}
+	if s.isolating > 0 {
+		e.failureCost += isolationCostFactor * objective
+	}
 	if s.load.isFull(now, e.requests) {
 		e.failureCost += rejectionCostFactor * objective
 	}
@@ -388,7 +397,9 @@
 }
 
 func (t *Table) choice(now time.Time, p *pool, q Query, s *endpointState, rank int, e estimate) Choice {
+	t.choices++
 	return Choice{
+		id:             t.choices,
 		Endpoint:       s.Endpoint,
 		Region:         t.regions[s.Domain],
 		Rank:           rank,
@@ -400,6 +411,7 @@
 		WarmRun:        toDuration(e.warm + e.roundTrip),
 		ColdTotal:      toDuration(e.wait + e.cold + e.roundTrip),
 		Requests:       e.requests,
+		RoundTrip:      toDuration(e.roundTrip),
 		Free:           e.wait == 0,
 		Limited:        s.limit.inForce(),
 		Unmeasured:     !t.routeServiceTimes(q.Route).hasSamples(),
--- a/endpoint/result.go
+++ b/endpoint/result.go
@@ -55,6 +55,9 @@
 		s.warmup.record(now)
 	}
 	s.inFlight++
+	if c.isolated {
+		s.isolating++
+	}
 	s.pending = append(s.pending, pending{id: c.id, sentAt: now, expected: c.ColdTotal})
 	return true
 }
@@ -98,6 +101,9 @@
 		s.load.recordReport(now, r.Running+r.Waiting, s.inFlight)
 	}
 	s.inFlight--
+	if c.isolated {
+		s.isolating--
+	}
 	s.removePending(c.id)
 	switch r.Verdict {
 	case VerdictServed:
@@ -125,6 +131,15 @@
 	}
 }
 
+// RecordCrash records that an endpoint refuses connections after it has broken one.
+func (t *Table) RecordCrash(now time.Time, c Choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.state.health.usable(now) {
+		c.state.health.recordUnreachable(now)
+	}
+}
+
 // recordLatency records the time that a request took, and that the endpoint now has the
 // object cached.
 func (t *Table) recordLatency(now time.Time, c Choice, r Result) {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -86,6 +86,7 @@
 	pool *pool
 
 	inFlight     int
+	isolating    int       // requests of this node in flight that may crash the endpoint
 	pending      []pending // requests of this node in flight
 	load         load
 	health       health
--- a/node/admin.go
+++ b/node/admin.go
@@ -8,14 +8,21 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/quarantine"
 )
 
 // Paths on the admin address.
 const (
 	PathStatus  = "/status"
 	PathMetrics = "/metrics"
+	// PathQuarantine returns the requests in quarantine. A POST with a fingerprint in the
+	// parameter ParameterRequest ends the quarantine of that request at all nodes.
+	PathQuarantine   = "/quarantine"
+	ParameterRequest = "request"
 )
 
 // Status is the state of a node as reported to operators.
@@ -29,6 +36,8 @@
 	Drained     []inventory.DomainID `json:"drained"`
 	InFlight    int                  `json:"work"` // requests in flight
 	Endpoints   []endpoint.Status    `json:"endpoints"`
+	Suspects    int                  `json:"suspects"`    // requests that were running in a crash of their endpoint
+	Quarantined int                  `json:"quarantined"` // requests in quarantine
 	Counters    map[string]int64     `json:"counters"`
 }
 
@@ -66,9 +75,29 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_ = n.metrics.write(w) // fails only if the client has disconnected
 	})
+	mux.HandleFunc("GET "+PathQuarantine, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.quarantine.Records(time.Now())) // fails only if the client has disconnected
+	})
+	mux.HandleFunc("POST "+PathQuarantine, n.serveLift)
 	return mux
 }
 
+// serveLift ends the quarantine of a request.
+func (n *Node) serveLift(w http.ResponseWriter, r *http.Request) {
+	f, err := quarantine.Parse(r.FormValue(ParameterRequest))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !n.quarantine.Lift(time.Now(), f) {
+		http.Error(w, "the request is not in quarantine", http.StatusNotFound)
+		return
+	}
+	n.metrics.increment("quarantine.lifted")
+	klog.InfoS("quarantine", "fingerprint", f.String(), "lifted", true, "by", "operator")
+}
+
 // Status returns the node's current status.
 func (n *Node) Status() Status {
 	now := time.Now()
@@ -83,6 +112,7 @@
 		Endpoints:   n.endpoints.Status(now),
 		Counters:    n.metrics.counterValues(),
 	}
+	s.Suspects, s.Quarantined = n.quarantine.Counts(now)
 	for _, e := range n.members.Alive(now) {
 		s.Alive = append(s.Alive, e.ID)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -18,6 +18,7 @@
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/member"
 	"github.com/wasabiwheel/wasabiwheel/platform"
+	"github.com/wasabiwheel/wasabiwheel/quarantine"
 	"github.com/wasabiwheel/wasabiwheel/route"
 )
 
@@ -301,10 +302,11 @@
 
 // applyEntries applies changes of the nodes' entries.
 func (n *Node) applyEntries(events []platform.Event) {
+	var quarantines []quarantine.Record
 	n.storeState.mu.Lock()
 	for _, ev := range events {
 		id := inventory.EntryID(ev.Object.Name)
-		var e member.Entry
+		var e storedEntry
 		err := json.Unmarshal(ev.Object.Spec, &e)
 		switch {
 		case ev.Removed:
@@ -312,7 +314,8 @@
 		case err != nil || e.ID != id:
 			klog.InfoS("entry ignored", "entry", id, "cause", err)
 		default:
-			n.storeState.entries[id] = e
+			n.storeState.entries[id] = e.Entry
+			quarantines = append(quarantines, e.Quarantines...)
 		}
 	}
 	var entries []member.Entry
@@ -322,6 +325,7 @@
 		peers = append(peers, discovery.Peer{ID: e.ID, Domain: e.Domain})
 	}
 	n.storeState.mu.Unlock()
+	n.learnQuarantines(quarantines, "store")
 	n.members.SetEntries(entries)
 	n.setPermitPeers(entries)
 	n.relay.SetPeers(peers)
--- a/node/handler.go
+++ b/node/handler.go
@@ -47,6 +47,9 @@
 	if err := req.readBody(r, limits.MaxBodyBytes); err != nil {
 		return req, req.bodyErrorResponse(err)
 	}
+	if refused := n.admitSuspect(r.Context(), req); refused != nil {
+		return req, *refused
+	}
 	return req, n.steer(r.Context(), req)
 }
 
@@ -113,8 +116,11 @@
 	if req.excluded != (endpoint.Exclusions{}) {
 		line = append(line, "excluded", req.excluded)
 	}
-	if req.isBroken() {
-		line = append(line, "method", req.method, "uri", req.uri, "fingerprint", req.identity().Fingerprint().String())
+	if req.fingerprint == "" && req.hasBroken() {
+		req.fingerprint = req.identity().Fingerprint().String()
+	}
+	if req.fingerprint != "" {
+		line = append(line, "method", req.method, "uri", req.uri, "caller", req.remote, "fingerprint", req.fingerprint)
 	}
 	klog.InfoS("request", line...)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -4,10 +4,10 @@
 // A node listens for requests, lookups, readiness checks, other nodes and operators. It
 // serves callers once it has read a configuration, the endpoints and the drains.
 //
-// Nodes exchange heartbeats, the changes of the store, news of endpoints, and permits for
-// endpoints that name a limit. Each node decides on its callers' requests independently.
+// Nodes exchange heartbeats, the changes of the store, news of endpoints, permits for endpoints
+// that name a limit, and reports of requests that crash endpoints. Each node decides on its callers' requests independently.
 //
-// The tables (endpoints, members, retries, permits, connections) each have their own lock, and none
+// The tables (endpoints, members, retries, permits, quarantines, connections) each have their own lock, and none
 // calls another, so at most one of these locks is held at a time.
 //
 // # Usage
@@ -37,6 +37,7 @@
 	"github.com/wasabiwheel/wasabiwheel/member"
 	"github.com/wasabiwheel/wasabiwheel/permit"
 	"github.com/wasabiwheel/wasabiwheel/platform"
+	"github.com/wasabiwheel/wasabiwheel/quarantine"
 	"github.com/wasabiwheel/wasabiwheel/retry"
 	"github.com/wasabiwheel/wasabiwheel/route"
 )
@@ -130,6 +131,8 @@
 	returns       *admission.Returns
 	permits       *permit.Table
 	permitClient  *http.Client
+	quarantine    *quarantine.Table
+	crashChecks   crashChecks
 	pool          *exchange.Pool
 	mirror        *discovery.Mirror
 	follower      *discovery.Follower
@@ -178,6 +181,8 @@
 	n.returns = admission.NewReturns()
 	n.permits = permit.New(s.ID)
 	n.permitClient = newPermitClient(n.network)
+	n.quarantine = quarantine.New()
+	n.crashChecks.checks = map[inventory.EndpointID]*crashCheck{}
 	n.pool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
 	n.storeState = newStoreState()
 	followed := []platform.Collection{platform.Configurations, platform.Endpoints, platform.Drains, platform.Entries}
@@ -276,6 +281,7 @@
 			n.forgetEndpoint(e, "not registered again after the store recovered")
 		}
 		n.mirror.Tick(now)
+		n.quarantine.Tick(now)
 		n.checkEra()
 		n.permits.Tick(now)
 		n.pool.CloseExpired(now)
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,6 +23,7 @@
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/lookup"
 	"github.com/wasabiwheel/wasabiwheel/member"
+	"github.com/wasabiwheel/wasabiwheel/quarantine"
 )
 
 const (
@@ -32,6 +33,7 @@
 	peerRetryInterval = 500 * time.Millisecond // between attempts to connect to another node
 	maxSubscribers    = 128                    // connections of nodes that subscribe to this one: several times its neighbours
 	remoteContactTime = 3 * time.Second        // after the start, for which nodes of other regions are neighbours: the store may have been restored
+	suspicionDelay    = 20 * time.Millisecond  // so that the suspicions of one crash are one message
 	planInterval      = 200 * time.Millisecond // between updates of the plan and the subscriptions
 )
 
@@ -44,8 +46,10 @@
 // subscriber is a node that receives updates, and what it has been sent.
 type subscriber struct {
 	subscribeRequest
-	gossip  endpoint.GossipPosition
-	greeted bool // whether it has received the first update
+	gossip     endpoint.GossipPosition
+	records    uint64 // position in the log of quarantines
+	suspicions uint64 // position in the log of suspicions
+	greeted    bool   // whether it has received the first update
 }
 
 // peerUpdate is a message to a subscriber.
@@ -55,6 +59,9 @@
 	Positions []discovery.Position `cbor:"positions"`
 	Batches   []discovery.Batch    `cbor:"batches,omitempty"`
 	Gossip    endpoint.Gossip      `cbor:"gossip"`
+
+	Quarantines []quarantine.Record    `cbor:"quarantines,omitempty"`
+	Suspicions  []quarantine.Suspicion `cbor:"suspicions,omitempty"`
 }
 
 func (n *Node) peerHandler() http.Handler {
@@ -71,6 +78,7 @@
 		n.serveSubscriber(w, r)
 	})
 	mux.HandleFunc("POST "+pathPermits, n.servePermit)
+	mux.HandleFunc("POST "+pathCrashes, n.serveCrash)
 	return mux
 }
 
@@ -91,7 +99,7 @@
 		interval = discovery.UpdateInterval
 	}
 	for ctx.Err() == nil && n.ctx.Err() == nil {
-		changed, full := n.mirror.NextChange(), n.endpoints.NextReport()
+		changed, full, suspected := n.mirror.NextChange(), n.endpoints.NextReport(), n.quarantine.NextSuspicion()
 		if n.sendUpdate(ctx, c, &to) != nil {
 			return
 		}
@@ -103,6 +111,8 @@
 		case <-ctx.Done():
 		case <-n.ctx.Done():
 		case <-changed:
+		case <-suspected:
+			sleep(ctx, suspicionDelay)
 		case <-full:
 			sleep(ctx, endpoint.GossipInterval)
 		case <-timer.C:
@@ -122,6 +132,8 @@
 	if m.Hops == discovery.HopsReader {
 		m.Beat.StoreReachedFor = n.storeReachedFor()
 	}
+	m.Quarantines, to.records = n.quarantine.Since(to.records)
+	m.Suspicions, to.suspicions = n.quarantine.SuspicionsSince(to.suspicions)
 	m.Gossip, to.gossip = n.endpoints.GossipSince(time.Now(), to.gossip)
 	for i, p := range to.Positions {
 		if b, ok := n.mirror.Since(p); ok && to.Feed && b.IsAfter(p) {
@@ -306,6 +318,8 @@
 		n.mirror.Receive(b)
 	}
 	n.endpoints.Learn(now, m.Gossip)
+	n.learnQuarantines(m.Quarantines, m.Beat.Entry)
+	n.quarantine.Suspect(now, m.Suspicions)
 	n.relay.RecordHeartbeat(now, m.Beat.Entry, m.Hops, m.Positions)
 	n.endpoints.StoreReachedElsewhere(now, m.Beat.StoreReachedFor)
 	if n.members.RecordHeartbeat(now, m.Beat) {
--- a/node/request.go
+++ b/node/request.go
@@ -39,6 +39,12 @@
 	deadline   time.Time // the earlier of the caller's and the route's
 
 	attempts      []attempt
+	remote        string              // address of the caller
+	isolated      bool                // it probably crashes the endpoint that runs it
+	stale         bool                // the connection of the last attempt had been closed before, by all appearances
+	probing       bool                // a judge has granted its next attempt
+	crashes       int                 // endpoints that crashed while they ran it
+	fingerprint   string              // of a request in quarantine
 	deniedPermits int                 // permits that the request asked for in vain
 	refused       *attempt            // the best endpoint, if the request was rejected as late
 	expectedTime  time.Duration       // expected time there
@@ -80,6 +86,7 @@
 		uri:      r.RequestURI,
 		host:     r.Host,
 		header:   exchange.Forwardable(r.Header),
+		remote:   r.RemoteAddr,
 		received: now,
 		deadline: now.Add(matched.Timeout.Duration),
 		length:   r.ContentLength,
@@ -128,11 +135,11 @@
 
 // identity returns what makes another request the same one.
 func (req *request) identity() quarantine.Request {
-	return quarantine.Request{Method: req.method, Host: req.host, URI: req.uri, Credentials: req.header.Get(headerAuthorization), Body: req.buffered, Length: req.length}
+	return quarantine.Request{Method: req.method, Route: req.route.ID, URI: req.uri, Credentials: req.header.Get(headerAuthorization), Body: req.buffered, Length: req.length}
 }
 
-// isBroken reports whether the connection of an attempt broke before the response was complete.
-func (req *request) isBroken() bool {
+// hasBroken reports whether the connection of an attempt broke before the response was complete.
+func (req *request) hasBroken() bool {
 	return slices.ContainsFunc(req.attempts, func(a attempt) bool { return a.result == string(exchange.KindBroken) })
 }
 
--- a/node/restore.go
+++ b/node/restore.go
@@ -14,6 +14,7 @@
 
 	"github.com/wasabiwheel/wasabiwheel/member"
 	"github.com/wasabiwheel/wasabiwheel/platform"
+	"github.com/wasabiwheel/wasabiwheel/quarantine"
 )
 
 const (
@@ -39,7 +40,7 @@
 	// again: half of the smallest rate of writes that the store accepts.
 	entryWriteTime = 5 * time.Millisecond
 	// entryCheckInterval is the time between checks of the own entry.
-	entryCheckInterval = time.Second
+	entryCheckInterval = 250 * time.Millisecond
 )
 
 // restorePolicy implements discovery.RestorePolicy by what the objects say themselves.
@@ -137,14 +138,23 @@
 	klog.InfoS("store restored", "era", era, "before", before, "version", n.version(), "retained", counts)
 }
 
+// storedEntry is a node's entry with the quarantines that it has issued, for all nodes.
+type storedEntry struct {
+	member.Entry
+	Quarantines []quarantine.Record `json:"quarantines,omitempty"`
+}
+
 // maintainEntry writes this node's entry to the store, and again if the store has lost it or
 // a late write has replaced it. After a restore of the store all nodes may have to write
 // theirs: each waits for a random part of the time that the store needs for all.
 func (n *Node) maintainEntry(ctx context.Context) {
 	backoff := platform.Backoff{Min: minEntryBackoff, Max: maxEntryBackoff}
 	var written *platform.Written // nil: not yet
+	version := uint64(0)          // of the quarantines in it
 	for ctx.Err() == nil && !n.isLeaving() {
 		switch {
+		case written != nil && n.quarantineVersion() != version:
+			written = nil
 		case written != nil && n.isEntryStored(*written):
 			sleep(ctx, entryCheckInterval)
 		case written != nil:
@@ -155,7 +165,9 @@
 		case !n.isStoreReached():
 			backoff.Wait(ctx)
 		default:
-			w, err := n.writeEntry(ctx)
+			e := storedEntry{Entry: n.entry()}
+			e.Quarantines, version = n.quarantine.Issued()
+			w, err := n.writeEntry(ctx, e)
 			if err != nil {
 				n.Failed(platform.Entries, err)
 				backoff.Wait(ctx)
@@ -178,13 +190,18 @@
 	if !ok {
 		return true
 	}
-	var e member.Entry
-	return exists && json.Unmarshal(o.Spec, &e) == nil && e.Start == n.started.UnixNano()
+	var e storedEntry
+	issued, _ := n.quarantine.Issued()
+	return exists && json.Unmarshal(o.Spec, &e) == nil && e.Start == n.started.UnixNano() && len(e.Quarantines) == len(issued)
+}
+
+func (n *Node) quarantineVersion() uint64 {
+	_, version := n.quarantine.Issued()
+	return version
 }
 
 // writeEntry writes this node's entry, whatever the store has in its place.
-func (n *Node) writeEntry(ctx context.Context) (platform.Written, error) {
-	e := n.entry()
+func (n *Node) writeEntry(ctx context.Context, e storedEntry) (platform.Written, error) {
 	w, err := n.store.Create(ctx, platform.Entries, string(e.ID), e)
 	if platform.IsKind(err, platform.KindConflict) {
 		w, err = n.store.Replace(ctx, platform.Entries, string(e.ID), e, 0)
--- a/node/steer.go
+++ b/node/steer.go
@@ -55,7 +55,7 @@
 		if !unsent {
 			sent++
 		}
-		if !n.mayRetry(req, last) || sent >= req.route.Attempts {
+		if isBroken(next) && !n.examine(ctx, req, choice) || !n.mayRetry(req, last) || sent >= req.route.Attempts {
 			return last
 		}
 		n.metrics.increment("retry." + string(last.reason))
@@ -107,6 +107,7 @@
 		Objective: req.route.Objective.Duration,
 		Tried:     req.triedEndpoints(),
 		Unlimited: req.deniedPermits >= maxDeniedPermits,
+		Isolated:  req.isolated,
 	}
 	choice, reason := n.endpoints.Choose(now, query)
 	if reason == endpoint.ReasonLimit && query.Unlimited && req.deniedPermits < maxDeniedInAll {
@@ -187,9 +188,11 @@
 	result := resultOf(endpointResponse, failed, now.Sub(start)-endpointResponse.DialTime)
 	n.endpoints.Finish(now, c, result)
 	n.recordLimit(now, req, c, endpointResponse, failed)
+	req.stale = failed != nil && failed.Reused && now.Sub(start) < c.RoundTrip+staleMargin
 	n.recordAttempt(req, c, failed, now.Sub(start), result.IsRejectionWithFreeSlots())
 	switch {
 	case failed == nil:
+		n.clearSuspect(req)
 		return ran(endpointResponse), false
 	case failed.Kind == exchange.KindCanceled:
 		return n.callerLeft(), false
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -9,9 +9,11 @@
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
 )
 
-// Fingerprint identifies a request by its method, host, path and query, credentials and body.
+// Fingerprint identifies a request by its method, route, path and query, credentials and body.
 // Callers choose these, so it is a cryptographic hash: none can let another one's request have
 // the fingerprint of its own.
 type Fingerprint [16]byte
@@ -19,6 +21,15 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MarshalText formats the fingerprint like String.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText parses a fingerprint like Parse.
+func (f *Fingerprint) UnmarshalText(text []byte) (err error) {
+	*f, err = Parse(string(text))
+	return err
+}
+
 // Parse parses a fingerprint in hexadecimal. It fails with KindMalformed.
 func Parse(text string) (Fingerprint, error) {
 	var f Fingerprint
@@ -32,20 +43,21 @@
 
 // Request is the part of a request that identifies it.
 type Request struct {
-	Method, Host, URI string
-	Credentials       string // that name the caller; "": none
-	Body              []byte // or the first part of a long one
-	Length            int64  // of the whole body in bytes, -1 if unknown
+	Method, URI string
+	Route       inventory.RouteID // not the host: some callers address nodes by their own names
+	Credentials string            // that name the caller; "": none
+	Body        []byte            // or the first part of a long one
+	Length      int64             // of the whole body in bytes, -1 if unknown
 }
 
-// Target is a hash of the method, host, path and query of a request. It is cheap, so that the
+// Target is a hash of the method, route, path and query of a request. It is cheap, so that the
 // fingerprint is needed only for requests of which a target is known.
 type Target uint64
 
 // Target returns the target of a request.
 func (r Request) Target() Target {
 	d := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.URI} {
+	for _, part := range []string{r.Method, string(r.Route), r.URI} {
 		_, _ = d.WriteString(part) // a hash does not fail
 		_, _ = d.Write([]byte{0})
 	}
@@ -56,7 +68,7 @@
 func (r Request) Fingerprint() Fingerprint {
 	d := sha256.New()
 	var length [8]byte
-	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.URI), []byte(r.Credentials), r.Body} {
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Route), []byte(r.URI), []byte(r.Credentials), r.Body} {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = d.Write(length[:]) // a hash does not fail
 		_, _ = d.Write(part)
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -28,6 +28,7 @@
 	Listen        func(network, address string) (net.Listener, error) // nil: net.Listen
 	OnArrival     func(id string)                                     // called for each request addressed to it; may be nil
 	OnRun         func(id string)                                     // called for each request that starts to run; may be nil
+	OnCrash       func()                                              // called after a request has crashed the endpoint; may be nil
 
 	mu             sync.Mutex
 	target         *Target
@@ -52,7 +53,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.target = NewTarget(string(e.ID), e.HeaderNames, b)
-	e.target.OnArrival, e.target.OnRun = e.OnArrival, e.OnRun
+	e.target.OnArrival, e.target.OnRun, e.target.OnCrash = e.OnArrival, e.OnRun, e.Crash
 	server := &http.Server{Handler: e.target, ReadHeaderTimeout: headerTimeout}
 	e.server, e.stopHeartbeats = server, func() {}
 	go func() { _ = server.Serve(l) }() // returns after End
@@ -108,6 +109,17 @@
 	stop()
 }
 
+// Crash ends the process, which a request of it has crashed.
+func (e *Endpoint) Crash() {
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	_ = server.Close() // does not wait for the request
+	if e.OnCrash != nil {
+		go e.OnCrash()
+	}
+}
+
 // End stops the endpoint at once and closes its connections. Its entry stays in the
 // store.
 func (e *Endpoint) End() {
--- a/standin/target.go
+++ b/standin/target.go
@@ -45,6 +45,7 @@
 	ReportNoLoad bool    `json:"mislead"`  // always report a load of 0
 	Limit        string  `json:"limit"`    // requests a second that are named as the limit; "": none
 	IgnoreCancel bool    `json:"deaf"`     // continue processing when the sender disconnects
+	CrashPath    string  `json:"crash"`    // a request of this path crashes the endpoint when it has started to run; "": none does
 }
 
 // ColdFactor is the factor on the processing time of a request with a cold cache.
@@ -69,6 +70,8 @@
 	// OnRun when a request starts to run. They are set before the target serves, and
 	// may be nil.
 	OnArrival, OnRun func(id string)
+	// OnCrash ends the process of the target. It is set like the others, and may be nil.
+	OnCrash func()
 
 	name        string
 	headerNames exchange.HeaderNames
@@ -179,6 +182,12 @@
 	if !t.work(ctx, b, id, t.objectOf(r)) {
 		return
 	}
+	if b.CrashPath != "" && r.URL.Path == b.CrashPath {
+		if t.OnCrash != nil {
+			t.OnCrash()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	t.countEnded()
 	t.answer(w, r, b, body)
 }
