node: a leaving node rejects requests that may not end before it exits

Operators of similar systems reported that in a planned stop requests which came late in the grace period were taken, passed on and cut at its end, also such as may not be repeated (LOST). It can happen here where a route's time exceeds what is left of the grace period: with 6 s of grace a request of a 5 s route that came 2.3 s after the signal was cut at 5.7 s with no response.

Now one whose deadline lies after the exit is rejected at once with 503, not run, reason 'leaving'; its caller uses another node. TestLongRequestsDuringShutdownAreNotCut failed before (connections ended without a response, repeatable or not) and passes.

--- a/node/handler.go
+++ b/node/handler.go
@@ -47,6 +47,9 @@
 	if err := req.readBody(r, limits.MaxBodyBytes); err != nil {
 		return req, req.bodyErrorResponse(err)
 	}
+	if !n.endsInTime(req) {
+		return req, notRun(ReasonLeaving, 0)
+	}
 	if refused := n.admitSuspect(r.Context(), req); refused != nil {
 		return req, *refused
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -25,6 +25,7 @@
 func (n *Node) leave(requests *requestServer, auxiliary []auxiliaryServer) error {
 	start := time.Now()
 	grace := n.settings.Load().Bounds.Grace.Duration
+	n.leaveEnd.Store(int64(start.Sub(n.started) + grace - exitMargin))
 	n.transition("leave")
 	klog.InfoS("leaving", "inflight", n.inFlight.Load(), "grace", grace)
 	n.background.Go(n.deleteEntry)
@@ -41,6 +42,14 @@
 	return err
 }
 
+// endsInTime reports whether a request will have ended before this node exits. A leaving node
+// rejects the others, since other nodes can serve them; at its exit their callers would not even
+// know whether they ran.
+func (n *Node) endsInTime(req *request) bool {
+	end := time.Duration(n.leaveEnd.Load())
+	return end == 0 || req.deadline.Sub(n.started) <= end
+}
+
 // drainRequests waits until callers have moved to other nodes and requests in flight
 // have completed.
 func (n *Node) drainRequests(requests *requestServer, start time.Time, grace time.Duration) error {
--- a/node/node.go
+++ b/node/node.go
@@ -143,6 +143,7 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	inFlight   atomic.Int64                   // requests in flight
+	leaveEnd   atomic.Int64                   // when the node exits at the latest, a time.Duration after started; 0: it does not leave
 	plan       atomic.Pointer[discovery.Plan] // how the node currently obtains the changes of the store
 	configured chan struct{}
 }
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -17,6 +17,7 @@
 	ReasonRoute    caller.Reason = "route"    // no route matches
 	ReasonRequest  caller.Reason = "request"  // the request is invalid
 	ReasonLate     caller.Reason = "late"     // it would not complete in time
+	ReasonLeaving  caller.Reason = "leaving"  // the node exits before its deadline
 	ReasonDeadline caller.Reason = "deadline" // its deadline passed before it was sent
 )
 
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -286,6 +288,47 @@
 	}
 }
 
+// TestLongRequestsDuringShutdownAreNotCut guards against requests that a leaving node accepts
+// although it exits before they end.
+func TestLongRequestsDuringShutdownAreNotCut(t *testing.T) {
+	for name, method := range map[string]string{"repeatable": "GET /get/1", "once only": "POST /post/1"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				convey.Convey("Each gets a response, and at once if it can't be served", t, func() {
+					h := newHarness(t, bytes.ReplaceAll(testInventory(), []byte(`timeout = "2s"`), []byte(`timeout = "5s"`)))
+					defer h.close()
+					for _, e := range h.inv.Entries {
+						h.start(e.ID)
+					}
+					time.Sleep(8 * time.Second)
+					h.setBehaviour(standin.Behaviour{Work: 4500 * time.Millisecond})
+					h.nodes["n1"].mayFail = true
+					h.nodes["n1"].stop()
+					var wait sync.WaitGroup
+					verb, path, _ := strings.Cut(method, " ")
+					replies := make([]testResponse, 4)
+					for i := range replies {
+						wait.Go(func() {
+							time.Sleep(100*time.Millisecond + time.Duration(i)*730*time.Millisecond)
+							replies[i] = h.send(h.t.Context(), "n1", testRequest{method: verb, path: path})
+						})
+					}
+					wait.Wait()
+					for _, resp := range replies {
+						convey.So(resp.err, convey.ShouldBeNil)
+						if resp.outcome != caller.OutcomeRan {
+							convey.So(resp.outcome, convey.ShouldEqual, caller.OutcomeNotRun)
+							convey.So(resp.took, convey.ShouldBeLessThan, 100*time.Millisecond)
+						}
+					}
+					<-h.nodes["n1"].done
+					convey.So(h.nodes["n1"].failure, convey.ShouldBeNil)
+				})
+			})
+		})
+	}
+}
+
 // TestResponsesDuringShutdownCloseConnections has requests in flight when the node is
 // stopped. If a connection stayed open after its response, a later request on it would fail.
 func TestResponsesDuringShutdownCloseConnections(t *testing.T) {
