--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -72,7 +72,7 @@
 	}
 	check, isFirst := n.crashChecks.begin(c.Endpoint.ID)
 	if isFirst {
-		n.background.Go(func() { n.checkCrash(check, c) })
+		go n.checkCrash(check, c)
 	}
 	select {
 	case <-check.done:
@@ -169,7 +169,7 @@
 // none does, it may.
 func (n *Node) requestProbe(f quarantine.Fingerprint) quarantine.Grant {
 	for _, judge := range n.judges(f) {
-		reply, err := n.tellJudge(judge, crashReport{Crash: quarantine.Crash{Fingerprint: f}, Kind: reportProbe})
+		reply, err := n.tellJudge(judge, crashReport{Crash: quarantine.Crash{Fingerprint: f}, Kind: kindProbe})
 		if err != nil {
 			continue
 		}
@@ -194,13 +194,7 @@
 		return true
 	}
 	if !req.route.Idempotent {
-		background, cancel := context.WithTimeout(n.ctx, reportTimeout)
-		n.background.Go(func() {
-			defer cancel()
-			if n.hasCrashed(background, c) {
-				n.reportCrash(background, req, c, at)
-			}
-		})
+		go n.examineOnceOnly(req, c, at)
 		return false
 	}
 	if !n.hasCrashed(ctx, c) {
@@ -217,6 +211,15 @@
 	return req.probing || !s.IsSuspect()
 }
 
+// examineOnceOnly records what a broken attempt of a request shows that is not sent again.
+func (n *Node) examineOnceOnly(req *request, c endpoint.Choice, at time.Time) {
+	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
+	defer cancel()
+	if n.hasCrashed(ctx, c) {
+		n.reportCrash(ctx, req, c, at)
+	}
+}
+
 // reportCrash records a crash under a request, reports it to the judges of the request, and
 // returns what is known then. It waits a moment for the judges.
 func (n *Node) reportCrash(ctx context.Context, req *request, c endpoint.Choice, at time.Time) quarantine.Status {
@@ -233,10 +236,10 @@
 	}
 	replies := make(chan struct{}, len(judges))
 	for _, judge := range judges {
-		n.background.Go(func() {
-			_, _ = n.tellJudge(judge, crashReport{Crash: crash, Kind: reportCrash}) // logged
+		go func() {
+			_, _ = n.tellJudge(judge, crashReport{Crash: crash, Kind: kindCrash}) // logged
 			replies <- struct{}{}
-		})
+		}()
 	}
 	timer := time.NewTimer(maxVerdictWait)
 	defer timer.Stop()
@@ -264,9 +267,9 @@
 	n.metrics.increment("crash.cleared")
 	for _, judge := range n.judges(s.Fingerprint) {
 		if judge != n.settings.Load().ID {
-			n.background.Go(func() {
-				_, _ = n.tellJudge(judge, crashReport{Crash: quarantine.Crash{Fingerprint: s.Fingerprint}, Kind: reportAnswer}) // logged
-			})
+			go func() {
+				_, _ = n.tellJudge(judge, crashReport{Crash: quarantine.Crash{Fingerprint: s.Fingerprint}, Kind: kindAnswer}) // logged
+			}()
 		}
 	}
 }
@@ -280,9 +283,9 @@
 type reportKind string
 
 const (
-	reportCrash  reportKind = "crash"  // an endpoint crashed while it ran the request
-	reportAnswer reportKind = "answer" // an endpoint has answered the request
-	reportProbe  reportKind = "probe"  // the node asks whether it may send the request
+	kindCrash  reportKind = "crash"  // an endpoint crashed while it ran the request
+	kindAnswer reportKind = "answer" // an endpoint has answered the request
+	kindProbe  reportKind = "probe"  // the node asks whether it may send the request
 )
 
 // crashReport is a report to a judge of a request. Only that of a crash has more than the
@@ -307,7 +310,7 @@
 	if judge == report.Node {
 		return n.judge(report), nil
 	}
-	if report.Kind == reportCrash {
+	if report.Kind == kindCrash {
 		report.Crash.Age = time.Since(report.Crash.At)
 	}
 	reply, err := n.exchangeReport(judge, report)
@@ -326,11 +329,11 @@
 	now, f := time.Now(), report.Crash.Fingerprint
 	var reply crashReply
 	switch report.Kind {
-	case reportAnswer:
+	case kindAnswer:
 		n.quarantine.Clear(now, f)
-	case reportProbe:
+	case kindProbe:
 		reply.Grant = n.quarantine.Grant(now, f, report.Node)
-	case reportCrash:
+	case kindCrash:
 		s, issued := n.quarantine.RecordCrash(now, report.Crash, true)
 		reply.Evidence = s.Evidence
 		if issued != nil {
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,33 +22,49 @@
 	restartTime = 3 * time.Second
 )
 
-// crashOn lets requests of a path crash the endpoints that run them. They start again soon. It
-// returns the number of crashes so far.
-func (h *harness) crashOn(path string) (crashes func() int) {
-	count := 0
-	done := make(chan struct{}, 1)
-	done <- struct{}{}
+// crashes counts what requests of a path do to the endpoints that run them.
+type crashes struct {
+	mu      sync.Mutex
+	crashed int
+	ran     map[string]bool // ids of requests
+}
+
+func (c *crashes) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashed
+}
+
+func (c *crashes) hasRun(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ran[id]
+}
+
+// crashOn lets requests of a path crash the endpoints that run them. They start again soon.
+func (h *harness) crashOn(path string) *crashes {
+	c := &crashes{ran: map[string]bool{}}
 	for _, t := range h.targets {
 		b := standin.Behaviour{Work: crashDelay, Slots: t.endpoint.Slots, CrashPath: path}
-		t.SetBehaviour(b)
+		t.endpoint.OnRun = func(id string) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.ran[id] = true
+		}
 		t.endpoint.OnCrash = func() {
-			<-done
-			count++
-			done <- struct{}{}
+			c.mu.Lock()
+			c.crashed++
+			c.mu.Unlock()
 			time.Sleep(restartTime)
 			if h.t.Context().Err() == nil {
 				t.endpoint.End()
 				_ = t.endpoint.Start(b, 0)
-				t.Target = t.endpoint.Target()
 			}
 		}
-		t.Target.OnCrash = t.endpoint.Crash
-	}
-	return func() int {
-		<-done
-		defer func() { done <- struct{}{} }()
-		return count
+		t.SetBehaviour(b)
+		t.OnRun, t.OnCrash = t.endpoint.OnRun, t.endpoint.Crash
 	}
+	return c
 }
 
 // TestRequestThatCrashesEndpointsIsQuarantined guards against a request that crashes endpoint
@@ -73,7 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
 				convey.Convey("It soon reaches no more endpoints, and no caller is told a lie", t, func() {
-					crashes := h.crashOn(deadlyPath)
+					seen := h.crashOn(deadlyPath)
 					if c.disturb != nil {
 						c.disturb(h)
 					}
@@ -81,15 +98,15 @@
 					late, rejected := 0, 0
 					for i := range 25 {
 						time.Sleep(c.gap)
-						before := crashes()
+						before := seen.count()
 						resp := h.send(h.t.Context(), c.at[i%len(c.at)], testRequest{path: deadlyPath})
-						if third.IsZero() && crashes() >= 3 {
+						if third.IsZero() && seen.count() >= 3 {
 							third = time.Now()
 						}
 						if !third.IsZero() && time.Since(third) > bound {
-							late += crashes() - before
+							late += seen.count() - before
 						}
-						if h.runCount(resp.id) > 0 {
+						if seen.hasRun(resp.id) {
 							convey.So(resp.outcome, convey.ShouldEqual, caller.OutcomeUnknown)
 						}
 						if resp.reason == string(ReasonQuarantined) {
@@ -100,7 +117,7 @@
 					}
 					convey.So(third.IsZero(), convey.ShouldBeFalse)
 					convey.So(late, convey.ShouldBeLessThanOrEqualTo, allowed)
-					convey.So(crashes(), convey.ShouldBeLessThanOrEqualTo, 6)
+					convey.So(seen.count(), convey.ShouldBeLessThanOrEqualTo, 6)
 					convey.So(rejected, convey.ShouldBeGreaterThan, 0)
 					convey.So(h.send(h.t.Context(), "n2", testRequest{path: "/get/other"}).status, convey.ShouldEqual, http.StatusOK)
 				})
@@ -114,7 +131,7 @@
 func TestStartedNodeRejectsQuarantinedRequests(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		convey.Convey("Until an operator lifts the quarantine at any node", t, func() {
-			crashes := h.crashOn(deadlyPath)
+			seen := h.crashOn(deadlyPath)
 			h.kill("n4")
 			for range 8 {
 				h.send(h.t.Context(), "n1", testRequest{path: deadlyPath})
@@ -122,10 +139,10 @@
 			}
 			h.start("n4")
 			time.Sleep(4 * time.Second)
-			before := crashes()
+			before := seen.count()
 			resp := h.send(h.t.Context(), "n4", testRequest{path: deadlyPath})
 			convey.So(resp.reason, convey.ShouldEqual, string(ReasonQuarantined))
-			convey.So(crashes(), convey.ShouldEqual, before)
+			convey.So(seen.count(), convey.ShouldEqual, before)
 
 			records := h.nodes["n3"].quarantine.Records(time.Now())
 			convey.So(records, convey.ShouldHaveLength, 1)
@@ -136,7 +153,7 @@
 			convey.So(w.Code, convey.ShouldEqual, http.StatusOK)
 			time.Sleep(3 * time.Second)
 			for _, target := range h.targets {
-				target.SetBehaviour(standin.Behaviour{Work: defaultWork})
+				target.endpoint.Target().SetBehaviour(standin.Behaviour{Work: defaultWork})
 			}
 			for id := range h.nodes {
 				convey.So(h.send(h.t.Context(), id, testRequest{path: deadlyPath}).status, convey.ShouldEqual, http.StatusOK)
@@ -155,7 +172,6 @@
 				go func() {
 					time.Sleep(time.Second)
 					_ = target.endpoint.Start(standin.Behaviour{Work: defaultWork, Slots: 3}, 0)
-					target.Target = target.endpoint.Target()
 				}()
 			}
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,9 +21,11 @@
 // # Usage
 //
 //	t := quarantine.New()
-//	if q, ok := t.Quarantined(now, r); ok { ... reject the request }
-//	verdict := t.RecordCrash(now, quarantine.Crash{Fingerprint: r.Fingerprint(), Endpoint: "e1", ...})
-//	t.Clear(now, f) // the request was answered
+//	s := t.Status(now, r)
+//	if s.Quarantined > 0 { ... reject the request }
+//	if s.IsSuspect() { ... ask a judge, which calls t.Grant(now, s.Fingerprint, node) }
+//	t.Clear(now, s.Fingerprint)                // an endpoint has answered the request
+//	s, issued := t.RecordCrash(now, crash, true) // at a judge: issued is a new quarantine
 package quarantine
 
 import (
