--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -15,6 +15,7 @@
 
 const (
 	maxLog        = 2000 // changes of a collection kept for other processes that catch up
+	maxPending    = 16   // batches with retained states that wait for the first list
 	maxTombstones = 4000 // removed objects kept per collection, so that a delayed change does not restore them
 )
 
@@ -193,8 +194,9 @@
 	m.mu.Lock()
 	var events []platform.Event
 	switch {
-	case !c.complete:
+	case !c.complete && len(c.pending) < maxPending:
 		c.pending = append(c.pending, b)
+	case !c.complete: // connections are opened again, and tell it then
 	case b.Era == c.era:
 		events = c.adopt(time.Now(), b.Retained)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -29,10 +29,10 @@
 	drained        map[inventory.DomainID]bool
 	entries        map[inventory.EntryID]member.Entry
 	complete       map[platform.Collection]bool
-	configuration  []byte    // spec of the configuration in force; used only by applyConfiguration
-	reachedSince   time.Time // since when the store is reachable, directly or through an upstream node
-	lostSince      time.Time // since when it is not; zero: it is reachable
-	era            platform.Era
+	configuration  []byte       // spec of the configuration in force; used only by applyConfiguration
+	reachedSince   time.Time    // since when the store is reachable, directly or through an upstream node
+	lostSince      time.Time    // since when it is not; zero: it is reachable
+	era            platform.Era // of the copy, when it was last logged
 	configuredOnce sync.Once
 }
 
