configuration: each restore of the store skips versions of its own

Cause: versions skip 1,000 after a restore, whatever the number of restores since the last recorded version; when both restores lead back to before the first one, the same number is assigned twice.

Now 1,000 versions are skipped for each era since then.

--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -347,6 +347,7 @@
 		"not-run reported for a request that ran":     {15, 20 * time.Second, true},
 		"restarted reader does not publish removals":  {57, 20 * time.Second, true},
 		"nodes considered ready too early":            {18, 20 * time.Second, true},
+		"versions assigned again after two restores":  {819, 20 * time.Second, true},
 	}
 	for name, c := range cases {
 		if c.regression && !*foundSeeds {
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -43,7 +43,7 @@
 	maxBackoff = 2 * time.Second
 )
 
-// restoreSkip is the number of versions that are skipped after a restore of the store. It is
+// restoreSkip is the number of versions that are skipped for each restore of the store. It is
 // more than are published in the minutes that a copy may lack.
 const restoreSkip = 1000
 
@@ -152,15 +152,26 @@
 			return 0, err
 		case r.Version == 0: // not recorded yet, or its operator failed to
 			continue
-		case r.Era != current.era:
-			return version + 1 + restoreSkip, nil
 		}
-		return version + 1, nil
+		return version + 1 + skipped(r.Era, current.era), nil
 	}
 	if version < maxUnrecorded && current.era <= 1 { // the store was never restored
 		return version + 1, nil
 	}
-	return version + 1 + restoreSkip, nil
+	return version + 1 + skipped(0, current.era), nil
+}
+
+// skipped returns the number of versions to skip in an era after one that was accepted in an
+// earlier era: the eras in between may all have been lost.
+func skipped(before, now platform.Era) inventory.Version {
+	switch {
+	case now == before:
+		return 0
+	case now < before:
+		return restoreSkip
+	default:
+		return restoreSkip * inventory.Version(now-before)
+	}
 }
 
 // release returns the release of a version, with version 0 if there is none.
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -174,3 +174,27 @@
 		})
 	}
 }
+
+// TestVersionsAfterTwoRestoresAreHigherThanLostOnes guards against a version of the second era
+// that is assigned again in the third one.
+func TestVersionsAfterTwoRestoresAreHigherThanLostOnes(t *testing.T) {
+	bubble(t, func(r *rig) {
+		convey.Convey("Both restores lead to a time before the first one", t, func() {
+			publish := func() inventory.Version {
+				release, err := r.newManager().Publish(r.t.Context(), configuration.Change{Text: text("new")})
+				convey.So(err, convey.ShouldBeNil)
+				time.Sleep(time.Second)
+				return release.Version
+			}
+			newest := publish()
+			for _, ago := range []time.Duration{500 * time.Millisecond, 5 * time.Second, 8 * time.Second} {
+				r.platform.Restore(ago)
+				for range 4 {
+					next := publish()
+					convey.So(next, convey.ShouldBeGreaterThan, newest)
+					newest = next
+				}
+			}
+		})
+	})
+}
