node: requests of TestLateRejectionIsLoggedWithTimes arrive one after the other

Cause, by the lines of two more failures: all requests arrived at one moment of the bubble's clock. Choosing an endpoint and counting the request there are two steps, so each of the 107 excess requests chose an endpoint whose connections were in use by then. Each was then rejected as late, with its times in the line, but a rejection after an attempt keeps the reason of the attempt, 'full', and the test counts 'late'.

--- a/node/log_test.go
+++ b/node/log_test.go
@@ -122,6 +122,7 @@
 			var wait sync.WaitGroup
 			for range 200 {
 				wait.Go(func() { h.send(h.t.Context(), "n1", testRequest{}) })
+				time.Sleep(time.Millisecond) // so that each finds the ones before it counted
 			}
 			wait.Wait()
 			end()
