node: one way to send a request to another node

Requests for permits and reports of crashes were sent, read and answered by the same lines twice. postPeer, decodeMessage and writeReply (message.go) serve both; the tests of exchange share their listener.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -25,22 +25,28 @@
 }
 
 func newEndlessEndpoint(t *testing.T, start, text string) *endlessEndpoint {
+	e := &endlessEndpoint{start: start, text: text, closed: make(chan int, 100)}
+	e.listener = listenAndServe(t, e.serve)
+	return e
+}
+
+// listenAndServe serves each connection to a new address until the test ends.
+func listenAndServe(t *testing.T, serve func(net.Conn)) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	e := &endlessEndpoint{listener: l, start: start, text: text, closed: make(chan int, 100)}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go e.serve(c)
+			go serve(c)
 		}
 	}()
-	return e
+	return l
 }
 
 func (e *endlessEndpoint) serve(c net.Conn) {
--- a/exchange/refusal_test.go
+++ b/exchange/refusal_test.go
@@ -26,21 +26,8 @@
 }
 
 func newRepeatingEndpoint(t *testing.T) *repeatingEndpoint {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	e := &repeatingEndpoint{listen: l, refuses: true, runs: map[string]int{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c)
-		}
-	}()
+	e := &repeatingEndpoint{refuses: true, runs: map[string]int{}}
+	e.listen = listenAndServe(t, e.serve)
 	return e
 }
 
--- a/node/leave.go
+++ b/node/leave.go
@@ -37,7 +37,7 @@
 	klog.InfoS("stop", "after", time.Since(start), "cut", n.inFlight.Load())
 	n.cancel()
 	closeServers(auxiliary)
-	n.permitClient.CloseIdleConnections()
+	n.peerClient.CloseIdleConnections()
 	n.background.Wait()
 	return err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,7 @@
 	retries       *retry.Budget
 	returns       *admission.Returns
 	permits       *permit.Table
-	permitClient  *http.Client
+	peerClient    *http.Client
 	quarantine    *quarantine.Table
 	crashChecks   crashChecks
 	pool          *exchange.Pool
@@ -181,7 +181,7 @@
 	n.members = member.New(n.entry())
 	n.returns = admission.NewReturns()
 	n.permits = permit.New(s.ID)
-	n.permitClient = newPermitClient(n.network)
+	n.peerClient = newPeerClient(n.network)
 	n.quarantine = quarantine.New()
 	n.crashChecks.checks = map[inventory.EndpointID]*crashCheck{}
 	n.pool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
--- a/node/permits.go
+++ b/node/permits.go
@@ -4,15 +4,11 @@
 // this node, and issued to other nodes.
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/wasabiwheel/wasabiwheel/caller"
@@ -46,8 +42,8 @@
 	Limit  endpoint.LimitReport `cbor:"limit"`            // the newest known
 }
 
-// newPermitClient returns the client with which permits are requested.
-func newPermitClient(network Network) *http.Client {
+// newPeerClient returns the client for requests to other nodes.
+func newPeerClient(network Network) *http.Client {
 	dialer := exchange.TimeoutDialer{Dialer: network, Timeout: permit.Lifetime}
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConns: maxPermitConns, IdleConnTimeout: permitIdleTime}}
 }
@@ -63,11 +59,8 @@
 
 // servePermit issues a permit to another node.
 func (n *Node) servePermit(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxPermitBytes))
 	var req permitRequest
-	if err == nil {
-		err = cbor.Unmarshal(data, &req)
-	}
+	err := decodeMessage(r.Body, maxPermitBytes, &req)
 	if err == nil && !req.Limit.IsValid() {
 		err = errors.New("the limit is invalid")
 	}
@@ -76,14 +69,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	out, err := cbor.Marshal(n.issuePermit(req))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header()["Date"] = nil
-	w.Header()["Content-Type"] = nil
-	_, _ = w.Write(out) // net/http detects a node that has disconnected
+	writeReply(w, n.issuePermit(req))
 }
 
 // issuePermit issues a permit unless the rate is exhausted. An endpoint that has withdrawn its
@@ -154,35 +140,11 @@
 	if issuer == n.settings.Load().ID {
 		return n.issuePermit(req), nil
 	}
-	address, ok := n.members.PeerAddress(issuer)
-	if !ok {
-		return permitResponse{}, errors.New("its address is unknown")
-	}
-	data, err := cbor.Marshal(req)
-	if err != nil {
-		return permitResponse{}, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, permit.Lifetime)
 	defer cancel()
-	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPermits, bytes.NewReader(data))
-	if err != nil {
-		return permitResponse{}, err
-	}
-	post.Header.Set("User-Agent", "") // omits the default value, which saves bytes
-	resp, err := n.permitClient.Do(post)
-	if err != nil {
-		return permitResponse{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPermitBytes))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d", resp.StatusCode)
-	}
-	var out permitResponse
-	if err == nil {
-		err = cbor.Unmarshal(body, &out)
-	}
-	return out, err
+	var resp permitResponse
+	err := n.postPeer(ctx, issuer, pathPermits, req, &resp, maxPermitBytes)
+	return resp, err
 }
 
 // limitedResponse rejects a request for whose service there is no permit now. The callers that
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -4,19 +4,15 @@
 // exchange with the judges of a request, and the rejection of those in quarantine.
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/wasabiwheel/wasabiwheel/admission"
@@ -349,56 +345,21 @@
 
 // serveCrash handles a report of another node.
 func (n *Node) serveCrash(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxCrashBytes))
 	var report crashReport
-	if err == nil {
-		err = cbor.Unmarshal(data, &report)
-	}
-	if err != nil {
+	if err := decodeMessage(r.Body, maxCrashBytes, &report); err != nil {
 		n.metrics.increment("crash.malformed")
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	report.Crash.At = time.Now().Add(-max(0, min(report.Crash.Age, reportTimeout)))
-	out, err := cbor.Marshal(n.judge(report))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header()["Date"] = nil
-	w.Header()["Content-Type"] = nil
-	_, _ = w.Write(out) // net/http detects a node that has disconnected
+	writeReply(w, n.judge(report))
 }
 
 func (n *Node) exchangeReport(judge inventory.EntryID, report crashReport) (crashReply, error) {
-	address, ok := n.members.PeerAddress(judge)
-	if !ok {
-		return crashReply{}, errors.New("its address is unknown")
-	}
-	data, err := cbor.Marshal(report)
-	if err != nil {
-		return crashReply{}, err
-	}
 	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
 	defer cancel()
-	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathCrashes, bytes.NewReader(data))
-	if err != nil {
-		return crashReply{}, err
-	}
-	post.Header.Set("User-Agent", "") // omits the default value, which saves bytes
-	resp, err := n.permitClient.Do(post)
-	if err != nil {
-		return crashReply{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCrashBytes))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d", resp.StatusCode)
-	}
 	var reply crashReply
-	if err == nil {
-		err = cbor.Unmarshal(body, &reply)
-	}
+	err := n.postPeer(ctx, judge, pathCrashes, report, &reply, maxCrashBytes)
 	return reply, err
 }
 
