--- a/caller/protocol.go
+++ b/caller/protocol.go
@@ -26,6 +26,7 @@
 	NotRun:    "Wasabiwheel-Not-Run",
 	Load:      "Wasabiwheel-Load",
 	Limit:     "Wasabiwheel-Limit",
+	Leaving:   "Wasabiwheel-Leaving",
 	Cold:      "Wasabiwheel-Cold",
 	Instance:  "Wasabiwheel-Instance",
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -40,6 +40,7 @@
 	NotRun    string // set by an endpoint that did not run a request
 	Load      string // running and waiting requests and slots of an endpoint
 	Limit     string // requests a second that an endpoint takes from all nodes together
+	Leaving   string // set to 1 by an endpoint that is about to end
 	Cold      string // remaining warm-up time of an endpoint, in milliseconds
 	Instance  string // the endpoint that responds
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -44,6 +44,8 @@
 	Unsigned     bool    `json:"unsigned"` // omit the signature
 	ReportNoLoad bool    `json:"mislead"`  // always report a load of 0
 	Limit        string  `json:"limit"`    // requests a second that are named as the limit; "": none
+	Leaving      string  `json:"leaving"`  // text by which each response says whether the target leaves; "": none
+	Pause        string  `json:"pause"`    // seconds without requests for which a rejection asks; "": none
 	IgnoreCancel bool    `json:"deaf"`     // continue processing when the sender disconnects
 	CrashPath    string  `json:"crash"`    // a request of this path crashes the endpoint when it has started to run; "": none does
 }
@@ -70,6 +72,10 @@
 	// OnRun when a request starts to run. They are set before the target serves, and
 	// may be nil.
 	OnArrival, OnRun func(id string)
+	// OnLeaving is called with the id of each request whose response says that the target
+	// leaves, OnPause with that of each rejection that asks for a pause. They are set like the
+	// others, and may be nil.
+	OnLeaving, OnPause func(id string)
 	// OnCrash ends the process of the target. It is set like the others, and may be nil.
 	OnCrash func()
 
@@ -163,9 +169,7 @@
 	b, ok := t.admit()
 	defer t.release()
 	if !ok {
-		t.writeLoad(w, b)
-		w.Header().Set(t.headerNames.NotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		t.reject(w, id, b)
 		return
 	}
 	var body []byte
@@ -192,6 +196,19 @@
 	t.answer(w, r, b, body)
 }
 
+// reject responds to a request that the target does not run.
+func (t *Target) reject(w http.ResponseWriter, id string, b Behaviour) {
+	t.writeState(w, id, b)
+	w.Header().Set(t.headerNames.NotRun, "1")
+	if b.Pause != "" {
+		w.Header().Set("Retry-After", b.Pause)
+		if t.OnPause != nil {
+			t.OnPause(id)
+		}
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (t *Target) objectOf(r *http.Request) string {
 	c, err := r.Cookie(t.headerNames.Object)
 	if err != nil {
@@ -343,8 +360,15 @@
 	return b.Fail > 0 && t.random.Float64() < b.Fail
 }
 
-// writeLoad adds the load and the limit to an answer.
-func (t *Target) writeLoad(w http.ResponseWriter, b Behaviour) {
+// writeState adds to an answer what the target says of itself: whether it leaves, its limit and
+// its load.
+func (t *Target) writeState(w http.ResponseWriter, id string, b Behaviour) {
+	if b.Leaving != "" {
+		w.Header().Set(t.headerNames.Leaving, b.Leaving)
+		if t.OnLeaving != nil {
+			t.OnLeaving(id)
+		}
+	}
 	if b.Limit != "" {
 		w.Header().Set(t.headerNames.Limit, b.Limit)
 	}
@@ -369,7 +393,7 @@
 	if err != nil {
 		return
 	}
-	t.writeLoad(w, b)
+	t.writeState(w, id, b)
 	if !b.Unsigned {
 		w.Header().Set(t.headerNames.Signature, t.name+"."+id)
 	}
