node: failing tests of endpoints that leave or ask for a pause

Callers' requests reach an endpoint long after it has told the node that it leaves, and while it wants none.

--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -280,6 +280,11 @@
 
 // send sends a request to an entry VM as a caller.
 func (h *harness) send(ctx context.Context, to inventory.EntryID, request testRequest) testResponse {
+	return h.sendAs(ctx, to, request, func(string) {})
+}
+
+// sendAs sends a request like send, and reports its id before.
+func (h *harness) sendAs(ctx context.Context, to inventory.EntryID, request testRequest, report func(id string)) testResponse {
 	if request.method == "" {
 		request.method = http.MethodGet
 	}
@@ -297,6 +302,7 @@
 	req.GetBody = nil
 
 	id := fmt.Sprintf("q%d", h.sequence.Add(1))
+	report(id)
 	req.Header.Set(caller.Headers.Request, id)
 	if request.object != "" {
 		req.AddCookie(&http.Cookie{Name: caller.Headers.Object, Value: request.object})
--- /dev/null
+++ b/node/signals_test.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/standin"
+)
+
+// TestLeavingEndpointGetsNoLaterRequests guards against requests to an endpoint that has said in a
+// response that it leaves.
+func TestLeavingEndpointGetsNoLaterRequests(t *testing.T) {
+	all := []inventory.EntryID{"n1", "n2", "n3", "n4"}
+	cases := map[string]struct {
+		behaviour standin.Behaviour
+		during    func(h *harness, w *witness) // after it began to leave
+	}{
+		"its entry says it is ready": {behaviour: standin.Behaviour{}},
+		"in rejections":              {behaviour: standin.Behaviour{Shed: true}},
+		"in failures":                {behaviour: standin.Behaviour{Fail: 1}},
+		"in responses cut short":     {behaviour: standin.Behaviour{Truncate: true}},
+		"the store is away": {during: func(h *harness, _ *witness) {
+			h.platform.SetFault(standin.Fault{Silent: true})
+		}},
+		"its entry is registered again": {during: func(h *harness, _ *witness) {
+			id := h.serviceTargets("s")[0].endpoint.ID
+			h.platform.Expire("servers", string(id))
+		}},
+		"a node restarts": {during: func(h *harness, w *witness) {
+			h.kill("n2")
+			w.forget("n2")
+			time.Sleep(time.Second)
+			h.start("n2")
+			time.Sleep(5 * time.Second)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				convey.Convey("From any node, and other endpoints serve", t, func() {
+					target := h.serviceTargets("s")[0]
+					w := h.watch(target)
+					w.load(h, 20, 5*time.Second, "/get/x", all...)
+					b := c.behaviour
+					b.Work, b.Slots, b.Leaving = defaultWork, 3, "1"
+					target.SetBehaviour(b)
+					w.load(h, 20, 3*time.Second, "/get/x", all...)
+					if c.during != nil {
+						c.during(h, w)
+					}
+					after := w.load(h, 20, 10*time.Second, "/get/x", all...)
+					convey.So(len(w.told), convey.ShouldBeGreaterThan, 0)
+					convey.So(w.late(h.nodes["n1"].settings.Load().Bounds.Drain.Duration), convey.ShouldEqual, 0)
+					convey.So(served(after), convey.ShouldBeGreaterThanOrEqualTo, len(after)*98/100)
+				})
+			})
+		})
+	}
+}
+
+// TestEndpointGetsNoRequestsInItsPause guards against requests to an endpoint that has asked a node
+// for a pause.
+func TestEndpointGetsNoRequestsInItsPause(t *testing.T) {
+	cases := map[string]struct {
+		pause  string
+		during func(h *harness) // after it began to ask
+	}{
+		"four seconds":   {pause: "4"},
+		"with fractions": {pause: "2.75"},
+		"the store is away": {pause: "4", during: func(h *harness) {
+			h.platform.SetFault(standin.Fault{Silent: true})
+		}},
+		"its entry is registered again": {pause: "30", during: func(h *harness) {
+			h.platform.Expire("servers", string(h.serviceTargets("s")[0].endpoint.ID))
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				convey.Convey("Beyond two, and other endpoints serve", t, func() {
+					target := h.serviceTargets("s")[0]
+					w := h.watch(target)
+					w.watchPauses(target, c.pause)
+					w.load(h, 40, 5*time.Second, "/get/x", "n1", "n2")
+					target.SetBehaviour(standin.Behaviour{Work: defaultWork, Slots: 3, Shed: true, Pause: c.pause})
+					w.load(h, 40, 2*time.Second, "/get/x", "n1", "n2")
+					if c.during != nil {
+						c.during(h)
+					}
+					after := w.load(h, 40, 15*time.Second, "/get/x", "n1", "n2")
+					convey.So(len(w.pauses), convey.ShouldBeGreaterThan, 0)
+					convey.So(w.mostInPause(), convey.ShouldBeLessThanOrEqualTo, pauseRequests)
+					convey.So(served(after), convey.ShouldBeGreaterThanOrEqualTo, len(after)*98/100)
+				})
+			})
+		})
+	}
+}
