exchange, node: what the head of a response says of its endpoint is kept and logged

One type, Signals, holds what a head says, also of a response whose body was cut short or came too late; one place in node records it. Counters signal.leaving and signal.pause, a log line each, and one for each that can't be read. A response of another endpoint (421), or a success without signature, says nothing.

No decision changes but one: the load and limit of a response that breaks off after its head now count, too.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -23,7 +23,7 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+
 	"strings"
 	"time"
 
@@ -71,27 +71,14 @@
 
 // Response is the complete response of an endpoint.
 type Response struct {
+	Signals
 	Status   int
 	Header   http.Header // without hop-by-hop headers
 	Body     []byte
-	Load     Load
-	Limit    Limit
 	Reused   bool          // the connection had been used before
 	DialTime time.Duration // time to open the connection; 0 if it was reused
 }
 
-// Load is the load that an endpoint reports in a response: running and waiting
-// requests and slots. Slots is 0 if it reports none.
-type Load struct{ Running, Waiting, Slots int }
-
-// Limit is the request rate that an endpoint names in a response for all nodes together. The
-// zero Limit means that it names none.
-type Limit struct {
-	Rate      inventory.Rate
-	Named     bool
-	Malformed bool // the response names a limit that cannot be read: nothing is known about it
-}
-
 // Kind classifies an Error so that callers can branch on it.
 type Kind string
 
@@ -110,14 +97,12 @@
 
 // Error reports why a request got no valid response, and the state of its connection.
 type Error struct {
-	Op         string
-	Kind       Kind
-	Reused     bool          // the connection had been used before
-	IdleTime   time.Duration // for which the connection had been idle
-	RetryAfter time.Duration // until a retry, as requested by an endpoint that sheds load; 0: not stated
-	Load       Load          // reported with KindShed
-	Limit      Limit         // named with KindShed
-	Err        error
+	Signals  // of the response, if its head was read
+	Op       string
+	Kind     Kind
+	Reused   bool          // the connection had been used before
+	IdleTime time.Duration // for which the connection had been idle
+	Err      error
 }
 
 // Error formats the failure as "exchange: op: kind: cause".
@@ -189,7 +174,9 @@
 	interrupted := !stop()
 	p.release(c, reusable && err == nil && !interrupted)
 	if err != nil && ctx.Err() != nil && !isKind(err, KindCallerBody) {
-		return Response{}, c.newError("exchange", contextKind(ctx), ctx.Err())
+		failed := c.newError("exchange", contextKind(ctx), ctx.Err())
+		failed.Signals = SignalsOf(err)
+		return Response{}, failed
 	}
 	return resp, err
 }
@@ -224,22 +211,24 @@
 	} else {
 		written <- c.writeRequest(names, r)
 	}
-	resp, body, stray, err := c.readResponse(names, r)
+	resp, body, stray, failed := c.readResponse(names, r)
 	complete, writeErr := c.finishWrite(written, r.Body)
-	if err != nil {
+	if failed != nil {
 		if writeErr != nil && errors.Is(writeErr, errRequestBody) {
-			return Response{}, false, c.newError("send", KindCallerBody, writeErr)
+			failed = c.newError("send", KindCallerBody, writeErr)
 		}
-		return Response{}, false, err
+		failed.Signals = readSignals(names, resp)
+		return Response{}, false, failed
 	}
 	identified := r.ID != "" // otherwise a late second copy of the response would match the next such request
 	reusable = complete && writeErr == nil && identified && !stray && !resp.Close && c.buffered() == 0 && c.isReusable(resp)
-	response = Response{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body, Load: parseLoad(resp.Header.Get(names.Load)), Limit: parseLimit(resp.Header.Values(names.Limit)), Reused: c.uses > 0}
+	response = Response{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body, Signals: readSignals(names, resp), Reused: c.uses > 0}
 	if !response.Reused {
 		response.DialTime = c.dialTime
 	}
-	if err := c.checkResponse(names, response); err != nil {
-		return Response{}, reusable, err
+	if failed := c.checkResponse(names, response); failed != nil {
+		failed.Signals = response.Signals
+		return Response{}, reusable, failed
 	}
 	return response, reusable, nil
 }
@@ -267,63 +256,13 @@
 	case resp.Status == http.StatusMisdirectedRequest:
 		return c.newError("answer", KindMisdirected, nil)
 	case resp.Header.Get(names.NotRun) != "" && resp.Status != http.StatusBadRequest:
-		e := c.newError("answer", KindShed, nil)
-		e.RetryAfter = parseRetryAfter(resp.Header.Get("Retry-After"))
-		e.Load, e.Limit = resp.Load, resp.Limit
-		return e
-	case resp.Status/100 == 2 && names.Signature != "" && resp.Header.Get(names.Signature) == "":
+		return c.newError("answer", KindShed, nil)
+	case isUnsigned(names, resp.Status, resp.Header):
 		return c.newError("answer", KindUnsigned, nil)
 	}
 	return nil
 }
 
-// parseRetryAfter parses a number of seconds, which may have a fraction. It returns 0
-// if the text is invalid.
-func parseRetryAfter(text string) time.Duration {
-	s, err := strconv.ParseFloat(text, 64)
-	if err != nil || s < 0 || s > time.Hour.Seconds() {
-		return 0
-	}
-	return time.Duration(s * float64(time.Second))
-}
-
-// parseLoad parses "running,waiting,slots". It returns the zero Load if the text is
-// invalid.
-func parseLoad(text string) Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return Load{}
-	}
-	var n [3]int
-	for i, p := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
-			return Load{}
-		}
-		n[i] = v
-	}
-	return Load{Running: n[0], Waiting: n[1], Slots: n[2]}
-}
-
-// maxLimitLength is the length of the longest text that is read as a limit.
-const maxLimitLength = 32
-
-// parseLimit parses the values of the header that names a limit: one decimal number.
-func parseLimit(values []string) Limit {
-	if len(values) == 0 {
-		return Limit{}
-	}
-	text := strings.TrimSpace(values[0])
-	if len(values) > 1 || text == "" || len(text) > maxLimitLength || strings.Trim(text, "0123456789.") != "" {
-		return Limit{Malformed: true}
-	}
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return Limit{Malformed: true}
-	}
-	return Limit{Rate: inventory.Rate(rate), Named: true}
-}
-
 var errRequestBody = errors.New("request body of the caller ended early")
 
 // writeRequest writes a request.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -19,7 +19,7 @@
 
 var headerNames = exchange.HeaderNames{
 	Request: "X-Request", Deadline: "X-Deadline", Object: "X-Object", Endpoint: "X-Endpoint",
-	Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Cold: "X-Cold", Instance: "X-Instance",
+	Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving", Cold: "X-Cold", Instance: "X-Instance",
 }
 
 // scriptedEndpoint is an endpoint that sends the responses of a script in order.
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -25,18 +25,19 @@
 )
 
 // readResponse reads responses until the one that belongs to the request. stray
-// states whether responses to other requests were discarded.
-func (c *conn) readResponse(names HeaderNames, r Request) (resp *http.Response, body []byte, stray bool, err error) {
+// states whether responses to other requests were discarded. If only the body could not be
+// read, the response is returned with the error.
+func (c *conn) readResponse(names HeaderNames, r Request) (resp *http.Response, body []byte, stray bool, failed *Error) {
 	req := &http.Request{Method: r.Method}
 	for range maxStrayResponses {
-		resp, err = c.readHead(req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, nil, stray, c.readError(err)
 		}
 		matches := resp.Header.Get(names.Request) == r.ID
 		body, err = c.readBody(resp)
 		if err != nil && matches {
-			return nil, nil, stray, c.readError(err)
+			return resp, nil, stray, c.readError(err)
 		}
 		if matches {
 			return resp, body, stray, nil
@@ -129,7 +130,7 @@
 }
 
 // readError returns a KindTimeout error if err is a timeout, else KindBroken.
-func (c *conn) readError(err error) error {
+func (c *conn) readError(err error) *Error {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return c.newError("read", KindTimeout, err)
--- a/node/steer.go
+++ b/node/steer.go
@@ -8,8 +8,6 @@
 	"errors"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/wasabiwheel/wasabiwheel/admission"
 	"github.com/wasabiwheel/wasabiwheel/caller"
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
@@ -185,9 +183,10 @@
 	if failed == nil && endpointResponse.DialTime > 0 {
 		n.endpoints.RecordRoundTrip(c, endpointResponse.DialTime)
 	}
+	signals := signalsOf(endpointResponse, failed)
 	result := resultOf(endpointResponse, failed, now.Sub(start)-endpointResponse.DialTime)
 	n.endpoints.Finish(now, c, result)
-	n.recordLimit(now, req, c, endpointResponse, failed)
+	n.recordSignals(now, req, c, signals)
 	req.stale = failed != nil && failed.Reused && now.Sub(start) < c.RoundTrip+staleMargin
 	n.recordAttempt(req, c, failed, now.Sub(start), result.IsRejectionWithFreeSlots())
 	switch {
@@ -198,40 +197,17 @@
 		return n.callerLeft(), false
 	case exchange.NotRun(failed):
 		unsent = failed.Kind == exchange.KindUnreachable || failed.Kind == exchange.KindConnLimit
-		return notRun(caller.Reason(failed.Kind), admission.RetryAfter(max(failed.RetryAfter, defaultRetryAfter), req.remaining(now))), unsent
+		return notRun(caller.Reason(failed.Kind), admission.RetryAfter(max(failed.Pause.For, defaultRetryAfter), req.remaining(now))), unsent
 	default:
 		return unknown(failed.Kind), false
 	}
 }
 
 func resultOf(resp exchange.Response, err *exchange.Error, took time.Duration) endpoint.Result {
-	load := resp.Load
-	if err != nil {
-		load = err.Load
-	}
+	load := signalsOf(resp, err).Load
 	return endpoint.Result{Verdict: verdictOf(resp, err), Took: took, Running: load.Running, Waiting: load.Waiting, Slots: load.Slots}
 }
 
-// recordLimit records what a complete response said about the limit of its endpoint.
-func (n *Node) recordLimit(now time.Time, req *request, c endpoint.Choice, resp exchange.Response, failed *exchange.Error) {
-	l := resp.Limit
-	switch {
-	case failed != nil && failed.Kind != exchange.KindShed:
-		return // there is no response, or it is not the endpoint's
-	case failed != nil:
-		l = failed.Limit
-	}
-	if l.Malformed {
-		n.metrics.increment("limit.malformed")
-		klog.InfoS("limit ignored", "endpoint", c.Endpoint.ID, "request", req.id, "cause", "malformed")
-		return
-	}
-	if n.endpoints.RecordLimit(now, c, endpoint.Limit{Rate: l.Rate, Named: l.Named}) {
-		n.metrics.increment("limit.changed")
-		klog.InfoS("limit", "endpoint", c.Endpoint.ID, "named", l.Named, "rate", l.Rate, "request", req.id, "by", "endpoint")
-	}
-}
-
 // recordAttempt records an attempt for the log, and reports a dead connection to the pool.
 func (n *Node) recordAttempt(req *request, c endpoint.Choice, failed *exchange.Error, took time.Duration, repeatable bool) {
 	result := "answered"
