endpoint, node: endpoints that say in a response that they leave get no further requests

Callers' requests reached an endpoint long after it had told the node that it leaves: 44 in the ten seconds after the bound, on four nodes, as many as the others got. Cause: no code read the header; only the entry in the store counted, which may say ready until the endpoint is gone. Class: what an endpoint says in a response was taken for that request alone (as limits and crashes were before).

Now a response and the entry are two sources of one state, decided in endpoint/leaving.go. It belongs to one start of the endpoint and is kept when the entry expires and is registered again. A new start, a drain that the entry takes back, or a response without the header to a request that was sent after the statement ends it; an older response that comes late does not. Neighbours are told, so it works while the store is away. A request that was chosen before asks again once it has a connection (exchange.Request.MaySend). A whole service that says so for a minute while its entries say ready is used again as the last resort.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -56,7 +56,10 @@
 	Tried     []inventory.EndpointID // excluded from the choice
 	Unlimited bool                   // endpoints with a limit are excluded
 	Mixed     bool                   // endpoints with a limit are ranked among the others
-	Isolated  bool                   // the request may crash the endpoint: few others should be there
+	// LastResort admits endpoints that have said for long that they leave, but are still
+	// registered as ready.
+	LastResort bool
+	Isolated   bool // the request may crash the endpoint: few others should be there
 }
 
 // key returns what the endpoints are ranked by.
@@ -83,6 +86,7 @@
 	RoundTrip  time.Duration // to the endpoint's failure domain; 0: unknown
 	Free       bool          // no wait is expected
 	Limited    bool          // the endpoint names a limit: the request needs a permit
+	LastResort bool          // the endpoint has said that it leaves, and is registered as ready
 	Unmeasured bool          // no request of the route has been served yet, so service times are defaults
 	// MaxConnections is the number of connections that this node may have to the endpoint.
 	// DialTimeout is the timeout for opening one; 0: unknown.
@@ -106,11 +110,12 @@
 
 // The reasons.
 const (
-	ReasonNone    Reason = "none"  // the service has no usable endpoint
-	ReasonTried   Reason = "tried" // all usable endpoints were tried
-	ReasonCold    Reason = "cold"  // the remaining endpoints are cold and may get no more from this node at present
-	ReasonBackoff Reason = "rest"  // the remaining endpoints are in backoff
-	ReasonLimit   Reason = "limit" // the remaining endpoints get as many requests as they allow
+	ReasonNone    Reason = "none"   // the service has no usable endpoint
+	ReasonLeaves  Reason = "leaves" // the remaining endpoints leave, by their own word
+	ReasonTried   Reason = "tried"  // all usable endpoints were tried
+	ReasonCold    Reason = "cold"   // the remaining endpoints are cold and may get no more from this node at present
+	ReasonBackoff Reason = "rest"   // the remaining endpoints are in backoff
+	ReasonLimit   Reason = "limit"  // the remaining endpoints get as many requests as they allow
 )
 
 // serviceTimes holds the mean service times of a route's requests in seconds, with the
@@ -134,6 +139,15 @@
 	if p == nil {
 		return Choice{}, ReasonNone
 	}
+	c, reason := t.choose(now, p, q)
+	if reason == ReasonLeaves {
+		q.LastResort = true
+		c, reason = t.choose(now, p, q)
+	}
+	return c, reason
+}
+
+func (t *Table) choose(now time.Time, p *pool, q Query) (Choice, Reason) {
 	if q.Isolated {
 		if c, ok := t.chooseIsolated(now, p, q); ok {
 			return c, ""
@@ -262,6 +276,8 @@
 	switch {
 	case s.Draining || s.replaced || t.drained[s.Domain]:
 		return ReasonNone
+	case t.leaves(now, s, q.LastResort):
+		return ReasonLeaves
 	case len(q.Homes) > 0 && !slices.Contains(q.Homes, t.regions[s.Domain]):
 		return ReasonNone
 	case slices.Contains(q.Tried, s.ID):
@@ -278,7 +294,8 @@
 
 // Exclusions counts the endpoints of a service that a request may not use, by reason.
 type Exclusions struct {
-	None    int `json:"none"` // draining, drained, replaced, or outside the home regions
+	Leaving int `json:"leaves"` // by their own word
+	None    int `json:"none"`   // draining, drained, replaced, or outside the home regions
 	Tried   int `json:"tried"`
 	Backoff int `json:"rest"`  // not reached recently
 	Cold    int `json:"cold"`  // at their rate bound, or reserved for other nodes
@@ -298,6 +315,8 @@
 		switch t.exclusion(now, s, q) {
 		case ReasonNone:
 			e.None++
+		case ReasonLeaves:
+			e.Leaving++
 		case ReasonTried:
 			e.Tried++
 		case ReasonBackoff:
@@ -313,7 +332,7 @@
 
 // moreTransient returns the reason that is more likely to pass by itself.
 func moreTransient(a, b Reason) Reason {
-	order := []Reason{ReasonNone, ReasonTried, ReasonBackoff, ReasonCold, ReasonLimit}
+	order := []Reason{ReasonNone, ReasonLeaves, ReasonTried, ReasonBackoff, ReasonCold, ReasonLimit}
 	if slices.Index(order, b) > slices.Index(order, a) {
 		return b
 	}
@@ -418,6 +437,7 @@
 		MaxConnections: t.connectionLimit(p),
 		DialTimeout:    t.dialTimeout(s),
 		state:          s,
+		LastResort:     q.LastResort,
 		object:         q.Object,
 		served:         p.locations.contains(q.Object, s),
 		serviceTimes:   t.routeServiceTimes(q.Route),
--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -14,7 +14,8 @@
 // of endpoints where requests wait are told, so there are few under low load.
 //
 // Limits that endpoints name: a node that has not heard of one would send as many requests as
-// before (limit.go). Each change is told.
+// before (limit.go). Each change is told. So is whether an endpoint leaves (leaving.go), which may
+// be known from nothing but its responses.
 //
 // All are told to neighbours, and passed on by nodes to which they are new. The logs of a
 // node and its messages are bounded; what exceeds the bounds is lost, and found out by
@@ -42,9 +43,10 @@
 
 // Gossip is a message of one node to another.
 type Gossip struct {
-	Replicas []Replica     `cbor:"copies,omitempty"`
-	Full     []LoadReport  `cbor:"full,omitempty"`
-	Limits   []LimitReport `cbor:"limits,omitempty"`
+	Replicas []Replica       `cbor:"copies,omitempty"`
+	Full     []LoadReport    `cbor:"full,omitempty"`
+	Limits   []LimitReport   `cbor:"limits,omitempty"`
+	Leaving  []LeavingReport `cbor:"leaving,omitempty"`
 }
 
 // Replica is an endpoint other than an object's primary one that has the object cached.
@@ -67,7 +69,7 @@
 type Hash uint64
 
 // GossipPosition is what a node has been told of another one's log. The zero value: nothing.
-type GossipPosition struct{ replicas, reports, limits uint64 }
+type GossipPosition struct{ replicas, reports, limits, leaving uint64 }
 
 // replicaLog holds the latest replicas that a node has learned of.
 type replicaLog struct {
@@ -143,11 +145,12 @@
 	g.Replicas, after.replicas = t.replicas.since(after.replicas)
 	g.Full, after.reports = t.reports.since(now, after.reports)
 	g.Limits, after.limits = t.limitsSince(now, after.limits)
+	g.Leaving, after.leaving = t.leavingSince(now, after.leaving)
 	return g, after
 }
 
-// NextReport returns a channel that is closed when a full endpoint or a changed limit has been
-// reported.
+// NextReport returns a channel that is closed when a full endpoint, a changed limit, or an
+// endpoint that leaves has been reported.
 func (t *Table) NextReport() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -181,6 +184,9 @@
 	for _, r := range g.Limits[:min(len(g.Limits), maxLimitsTold)] {
 		t.learnLimit(now, r)
 	}
+	for _, r := range g.Leaving[:min(len(g.Leaving), maxLeavingTold)] {
+		t.learnLeaving(now, r)
+	}
 }
 
 // recordReplica adds a replica that a request of this node has created to the log.
--- a/endpoint/limit.go
+++ b/endpoint/limit.go
@@ -10,7 +10,6 @@
 // An endpoint for which there is none now is left out of the choice until there may be one.
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/inventory"
@@ -191,49 +190,12 @@
 	t.setLimit(s, now.Add(-time.Duration(r.Age)*time.Millisecond), Limit{Rate: inventory.Rate(r.Rate), Named: r.Named})
 }
 
-// Paused records that the process did not run for a time that its clock does not count: what it
-// knows is that much older.
-func (t *Table) Paused(gap time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.byID {
-		if !s.limit.at.IsZero() {
-			s.limit.at = s.limit.at.Add(-gap)
-		}
-	}
-}
-
-// limitLog holds the endpoints whose limits have changed, the latest change last.
-type limitLog struct {
-	endpoints []*endpointState
-	end       uint64 // position after the last one
-}
-
-// append adds an endpoint, or moves it to the end. Positions of the others do not decrease, so
-// that none is left out for a node that has been told a part of the log.
-func (l *limitLog) append(s *endpointState) {
-	if i := slices.Index(l.endpoints, s); i >= 0 {
-		copy(l.endpoints[1:i+1], l.endpoints[:i])
-		l.endpoints[0] = nil
-	}
-	if len(l.endpoints) == maxGossipLog {
-		l.endpoints = slices.Delete(l.endpoints, 0, 1)
-	}
-	l.endpoints = append(l.endpoints, s)
-	l.end++
-}
-
 // limitsSince returns the limits that changed after a position, at most a message full, and the
 // position after them.
 func (t *Table) limitsSince(now time.Time, after uint64) (told []LimitReport, position uint64) {
-	start := t.limits.end - uint64(len(t.limits.endpoints))
-	position = min(max(after, start), t.limits.end)
-	for ; position < t.limits.end && len(told) < maxLimitsTold; position++ {
-		s := t.limits.endpoints[position-start]
-		if s == nil || t.byID[s.ID] != s {
-			continue
-		}
-		if r := s.limitReport(now); r.IsValid() {
+	changed, position := t.limits.since(after, maxLimitsTold)
+	for _, s := range changed {
+		if r := s.limitReport(now); t.byID[s.ID] == s && r.IsValid() {
 			told = append(told, r)
 		}
 	}
--- a/endpoint/result.go
+++ b/endpoint/result.go
@@ -45,7 +45,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := c.state
-	if t.byID[s.ID] != s || s.Draining || s.replaced || t.drained[s.Domain] {
+	if !t.maySend(now, c) {
 		return false
 	}
 	if s.warmup.active(now) {
@@ -62,6 +62,21 @@
 	return true
 }
 
+// MaySend reports whether a request that was started may still be sent: it may have waited for a
+// connection meanwhile.
+func (t *Table) MaySend(now time.Time, c Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maySend(now, c)
+}
+
+// maySend reports whether the endpoint of a choice is still in use, and has not said that it
+// wants no requests.
+func (t *Table) maySend(now time.Time, c Choice) bool {
+	s := c.state
+	return t.byID[s.ID] == s && !s.Draining && !s.replaced && !t.drained[s.Domain] && !t.leaves(now, s, c.LastResort)
+}
+
 // pending is a request of this node that is not answered yet.
 type pending struct {
 	id       uint64
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -59,7 +59,9 @@
 	roundTrips     map[inventory.DomainID]time.Duration // absent: not measured yet
 	replicas       replicaLog
 	reports        reportLog
-	limits         limitLog
+	limits         changeLog
+	left           changeLog // of whether endpoints leave
+	former         formerStarts
 	choices        uint64    // number of choices made
 	storeLost      bool      // the store cannot be reached
 	storeLostAt    time.Time // when it last became unreachable
@@ -82,6 +84,7 @@
 // endpointState holds the registration, load, health and warm-up of one endpoint.
 type endpointState struct {
 	inventory.Endpoint
+	*statements
 	hash uint64
 	pool *pool
 
@@ -91,7 +94,6 @@
 	load         load
 	health       health
 	warmup       warmup
-	limit        knownLimit
 	missingSince time.Time // when its entry was removed from the store; zero: it was not
 	replaced     bool      // another endpoint uses its address
 }
@@ -107,6 +109,7 @@
 		drained:      map[inventory.DomainID]bool{},
 		serviceTimes: map[inventory.RouteID]*serviceTimes{},
 		roundTrips:   map[inventory.DomainID]time.Duration{},
+		former:       formerStarts{},
 		reports:      reportLog{changed: make(chan struct{})},
 	}
 }
@@ -137,7 +140,7 @@
 	defer t.mu.Unlock()
 	s := t.byID[e.ID]
 	if s != nil && (s.Service != e.Service || s.Address != e.Address || !s.Start.Equal(e.Start)) {
-		t.remove(s)
+		t.remove(now, s)
 		s = nil
 	}
 	if s == nil {
@@ -145,6 +148,9 @@
 		s.warmup.extend(now, e.ColdRemaining)
 		return true
 	}
+	if s.Draining && !e.Draining {
+		t.setLeaving(s, now, false)
+	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
 	s.Endpoint = e
 	s.missingSince = time.Time{}
@@ -154,7 +160,7 @@
 
 func (t *Table) add(e inventory.Endpoint) *endpointState {
 	p := t.pool(e.Service)
-	s := &endpointState{Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), pool: p}
+	s := &endpointState{Endpoint: e, statements: t.takeStatements(e), hash: xxhash.Sum64String(string(e.ID)), pool: p}
 	t.byID[e.ID] = s
 	t.byHash[Hash(s.hash)] = s
 	i, _ := slices.BinarySearchFunc(p.endpoints, s, compareStates)
@@ -164,12 +170,13 @@
 
 func compareStates(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) }
 
-func (t *Table) remove(s *endpointState) {
+func (t *Table) remove(now time.Time, s *endpointState) {
 	if t.byID[s.ID] != s {
 		return
 	}
 	delete(t.byID, s.ID)
 	delete(t.byHash, Hash(s.hash))
+	t.keepStatements(now, s)
 	p := s.pool
 	if i, ok := slices.BinarySearchFunc(p.endpoints, s, compareStates); ok {
 		p.endpoints = slices.Delete(p.endpoints, i, i+1)
@@ -188,7 +195,7 @@
 		return false
 	}
 	if t.storeSettled(now) || s.Draining {
-		t.remove(s)
+		t.remove(now, s)
 		return true
 	}
 	if s.missingSince.IsZero() {
@@ -241,6 +248,7 @@
 	for _, p := range t.services {
 		p.updateUtilization(now)
 	}
+	t.dropFormer(now)
 	if !t.storeSettled(now) {
 		return nil
 	}
@@ -248,7 +256,7 @@
 	for _, s := range t.byID {
 		if !s.missingSince.IsZero() {
 			gone = append(gone, s.Endpoint)
-			t.remove(s)
+			t.remove(now, s)
 		}
 	}
 	slices.SortFunc(gone, func(a, b inventory.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
@@ -311,9 +319,10 @@
 	Service      inventory.ServiceID  `json:"service"`
 	Domain       inventory.DomainID   `json:"domain"`
 	Slots        int                  `json:"slots"`
-	InFlight     int                  `json:"inflight"` // from this node
-	Requests     float64              `json:"busy"`     // from all nodes, estimated
-	Draining     bool                 `json:"draining,omitempty"`
+	InFlight     int                  `json:"inflight"`           // from this node
+	Requests     float64              `json:"busy"`               // from all nodes, estimated
+	Draining     bool                 `json:"draining,omitempty"` // by its entry
+	Leaving      float64              `json:"leaving,omitempty"`  // by its responses, for this many seconds
 	Cold         bool                 `json:"cold,omitempty"`
 	Backoff      bool                 `json:"resting,omitempty"` // in backoff, since it was not reached
 	Replaced     bool                 `json:"replaced,omitempty"`
@@ -332,7 +341,7 @@
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Slots: s.Slots,
 			InFlight: s.inFlight, Requests: s.requests(now), Draining: s.Draining,
 			Cold: s.warmup.active(now), Backoff: !s.health.usable(now), Replaced: s.replaced,
-			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Limit: s.limit.named(),
+			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(),
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -59,6 +59,7 @@
 	FreshConnection bool          // excludes connections that were idle for long
 	MaxConnections  int           // connections to the endpoint; 0: a default
 	DialTimeout     time.Duration // timeout for opening a connection, up to a default; 0: the default
+	MaySend         func() bool   // asked once there is a connection; nil: it may be sent
 }
 
 // Body is the body of a request. Length is in bytes, or -1 if it is unknown. Reader
@@ -86,6 +87,7 @@
 const (
 	KindUnreachable Kind = "unreached"  // no connection could be opened; nothing was sent
 	KindConnLimit   Kind = "full"       // all connections to the endpoint are in use; nothing was sent
+	KindWithdrawn   Kind = "withdrawn"  // MaySend did not allow it; nothing was sent
 	KindShed        Kind = "shed"       // the endpoint rejected the request without running it
 	KindMisdirected Kind = "misplaced"  // another endpoint has the address and did not run the request
 	KindBroken      Kind = "broken"     // the connection failed or the response is invalid; the request may have run
@@ -124,7 +126,7 @@
 		return false
 	}
 	switch e.Kind {
-	case KindUnreachable, KindConnLimit, KindShed, KindMisdirected:
+	case KindUnreachable, KindConnLimit, KindWithdrawn, KindShed, KindMisdirected:
 		return true
 	}
 	return false
@@ -168,6 +170,10 @@
 	if err != nil {
 		return Response{}, err
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.release(c, true)
+		return Response{}, c.newError("send", KindWithdrawn, nil)
+	}
 	_ = c.SetDeadline(r.Deadline) // before AfterFunc, so that it doesn't undo an interrupt; fails only on a closed connection
 	stop := context.AfterFunc(ctx, c.interrupt)
 	resp, reusable, err := c.roundTrip(p.headerNames, r)
--- a/exchange/signals_test.go
+++ b/exchange/signals_test.go
@@ -67,3 +67,21 @@
 		})
 	}
 }
+
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	convey.Convey("It is asked for once there is a connection, which is kept", t, func() {
+		s := newScriptedEndpoint(t)
+		p := exchange.New(exchange.Options{HeaderNames: headerNames})
+		r := s.request("one")
+		r.MaySend = func() bool { return false }
+		_, err := p.Do(t.Context(), r)
+		convey.So(kindOf(err), convey.ShouldEqual, exchange.KindWithdrawn)
+		convey.So(exchange.NotRun(err), convey.ShouldBeTrue)
+		r.MaySend = func() bool { return true }
+		_, err = p.Do(t.Context(), r)
+		convey.So(err, convey.ShouldBeNil)
+		requests, conns := s.received()
+		convey.So(len(requests), convey.ShouldEqual, 1)
+		convey.So(conns, convey.ShouldEqual, 1)
+	})
+}
--- a/node/handler.go
+++ b/node/handler.go
@@ -82,7 +82,7 @@
 func (n *Node) writeEndpointResponse(w http.ResponseWriter, resp response) {
 	h := w.Header()
 	for name, values := range resp.endpointResponse.Header {
-		if name != n.headerNames.Load && name != n.headerNames.Limit && name != n.headerNames.Instance && name != n.headerNames.Cold {
+		if name != n.headerNames.Load && name != n.headerNames.Limit && name != n.headerNames.Instance && name != n.headerNames.Leaving && name != n.headerNames.Cold {
 			h[name] = values
 		}
 	}
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -71,7 +71,7 @@
 		return endpoint.VerdictReplaced
 	case exchange.KindTimeout:
 		return endpoint.VerdictTimeout
-	case exchange.KindCanceled, exchange.KindCallerBody:
+	case exchange.KindCanceled, exchange.KindCallerBody, exchange.KindWithdrawn:
 		return endpoint.VerdictInconclusive
 	default:
 		return endpoint.VerdictFailed
--- a/node/signals.go
+++ b/node/signals.go
@@ -19,18 +19,16 @@
 	return resp.Signals
 }
 
-// recordSignals records what the response to a request says of its endpoint.
-func (n *Node) recordSignals(now time.Time, req *request, c endpoint.Choice, s exchange.Signals) {
+// recordSignals records what the response to a request that was sent at a time says of its
+// endpoint.
+func (n *Node) recordSignals(now, sent time.Time, req *request, c endpoint.Choice, s exchange.Signals) {
 	if !s.Heard {
 		return
 	}
 	n.recordMalformed(req, c, "limit", s.Limit.Malformed)
 	n.recordMalformed(req, c, "leaving", s.Leaving.Malformed)
 	n.recordMalformed(req, c, "pause", s.Pause.Malformed)
-	if s.Leaving.Said {
-		n.metrics.increment("signal.leaving")
-		klog.InfoS("endpoint leaves", "endpoint", c.Endpoint.ID, "request", req.id, "by", "endpoint")
-	}
+	n.recordLeaving(now, sent, req, c, s.Leaving)
 	if s.Pause.For > 0 {
 		n.metrics.increment("signal.pause")
 		klog.InfoS("endpoint pauses", "endpoint", c.Endpoint.ID, "request", req.id, "for", s.Pause.For)
@@ -52,3 +50,19 @@
 	n.metrics.increment(signal + ".malformed")
 	klog.InfoS(signal+" ignored", "endpoint", c.Endpoint.ID, "request", req.id, "cause", "malformed")
 }
+
+// recordLeaving records whether the endpoint leaves. The connections to one that does are closed
+// as they become idle.
+func (n *Node) recordLeaving(now, sent time.Time, req *request, c endpoint.Choice, l exchange.Leaving) {
+	if l.Said {
+		n.metrics.increment("signal.leaving")
+	}
+	if l.Malformed || !n.endpoints.RecordLeaving(now, sent, c, l.Said) {
+		return
+	}
+	n.metrics.increment("leaving.changed")
+	klog.InfoS("endpoint leaves", "endpoint", c.Endpoint.ID, "leaves", l.Said, "request", req.id, "by", "endpoint")
+	if l.Said {
+		n.pool.RemoveEndpoint(c.Endpoint.ID, c.Endpoint.Address)
+	}
+}
--- a/node/steer.go
+++ b/node/steer.go
@@ -161,6 +161,9 @@
 	ctx, cancel := req.context(ctx)
 	defer cancel()
 	start := time.Now()
+	if c.LastResort {
+		n.metrics.increment("leaving.doubted")
+	}
 	endpointResponse, err := n.pool.Do(ctx, exchange.Request{
 		ID:              req.id,
 		Method:          req.method,
@@ -174,6 +177,7 @@
 		FreshConnection: !req.route.Idempotent,
 		MaxConnections:  c.MaxConnections,
 		DialTimeout:     c.DialTimeout,
+		MaySend:         func() bool { return n.endpoints.MaySend(time.Now(), c) },
 	})
 	now := time.Now()
 	var failed *exchange.Error
@@ -186,9 +190,9 @@
 	signals := signalsOf(endpointResponse, failed)
 	result := resultOf(endpointResponse, failed, now.Sub(start)-endpointResponse.DialTime)
 	n.endpoints.Finish(now, c, result)
-	n.recordSignals(now, req, c, signals)
+	n.recordSignals(now, start, req, c, signals)
 	req.stale = failed != nil && failed.Reused && now.Sub(start) < c.RoundTrip+staleMargin
-	n.recordAttempt(req, c, failed, now.Sub(start), result.IsRejectionWithFreeSlots())
+	n.recordAttempt(req, c, failed, now.Sub(start), result.IsRejectionWithFreeSlots() || failed != nil && failed.Kind == exchange.KindWithdrawn)
 	switch {
 	case failed == nil:
 		n.clearSuspect(req)
@@ -196,13 +200,18 @@
 	case failed.Kind == exchange.KindCanceled:
 		return n.callerLeft(), false
 	case exchange.NotRun(failed):
-		unsent = failed.Kind == exchange.KindUnreachable || failed.Kind == exchange.KindConnLimit
+		unsent = isUnsent(failed.Kind)
 		return notRun(caller.Reason(failed.Kind), admission.RetryAfter(max(failed.Pause.For, defaultRetryAfter), req.remaining(now))), unsent
 	default:
 		return unknown(failed.Kind), false
 	}
 }
 
+// isUnsent reports whether nothing was sent in an attempt that ended in a way.
+func isUnsent(k exchange.Kind) bool {
+	return k == exchange.KindUnreachable || k == exchange.KindConnLimit || k == exchange.KindWithdrawn
+}
+
 func resultOf(resp exchange.Response, err *exchange.Error, took time.Duration) endpoint.Result {
 	load := signalsOf(resp, err).Load
 	return endpoint.Result{Verdict: verdictOf(resp, err), Took: took, Running: load.Running, Waiting: load.Waiting, Slots: load.Slots}
@@ -228,7 +237,7 @@
 
 // mayRetry reports whether the request may be sent to another endpoint.
 func (n *Node) mayRetry(req *request, resp response) bool {
-	if req.unbuffered != nil && resp.reason != caller.Reason(exchange.KindUnreachable) && resp.reason != caller.Reason(exchange.KindConnLimit) {
+	if req.unbuffered != nil && !isUnsent(exchange.Kind(resp.reason)) {
 		return false // part of the unbuffered body has been consumed
 	}
 	switch resp.outcome {
