endpoint, node: endpoints that ask for a pause get no requests in it

An endpoint that had rejected a request with 503 and asked for a pause got up to 34 requests of one node in it. Cause: the time was only passed on to the caller whose request was rejected. Class: as for endpoints that leave, what a response says was taken for that request alone.

A pause now leaves the endpoint out of the choice of this node until it ends; a request that was chosen before is checked again when it has a connection. After it the node sends one request, and twice as many at a time with each response that is no rejection, so that it is not full again at once and a node with few requests is not delayed. If all endpoints have asked for pauses, callers are rejected at once (reason pause) and told to return after the first one ends, one after the other. What can't be read is counted and changes nothing.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -115,6 +115,7 @@
 	ReasonTried   Reason = "tried"  // all usable endpoints were tried
 	ReasonCold    Reason = "cold"   // the remaining endpoints are cold and may get no more from this node at present
 	ReasonBackoff Reason = "rest"   // the remaining endpoints are in backoff
+	ReasonPause   Reason = "pause"  // the remaining endpoints have asked for a pause
 	ReasonLimit   Reason = "limit"  // the remaining endpoints get as many requests as they allow
 )
 
@@ -284,6 +285,8 @@
 		return ReasonTried
 	case !s.health.usable(now):
 		return ReasonBackoff
+	case s.covers(now, 0):
+		return ReasonPause
 	case s.warmup.active(now) && !t.maySendCold(now, s):
 		return ReasonCold
 	case s.limit.isHeld(now) || q.Unlimited && s.limit.inForce():
@@ -299,6 +302,7 @@
 	Tried   int `json:"tried"`
 	Backoff int `json:"rest"`  // not reached recently
 	Cold    int `json:"cold"`  // at their rate bound, or reserved for other nodes
+	Paused  int `json:"pause"` // they have asked for it
 	Limited int `json:"limit"` // no permit for them now
 }
 
@@ -323,6 +327,8 @@
 			e.Backoff++
 		case ReasonCold:
 			e.Cold++
+		case ReasonPause:
+			e.Paused++
 		case ReasonLimit:
 			e.Limited++
 		}
@@ -332,7 +338,7 @@
 
 // moreTransient returns the reason that is more likely to pass by itself.
 func moreTransient(a, b Reason) Reason {
-	order := []Reason{ReasonNone, ReasonLeaves, ReasonTried, ReasonBackoff, ReasonCold, ReasonLimit}
+	order := []Reason{ReasonNone, ReasonLeaves, ReasonTried, ReasonBackoff, ReasonCold, ReasonPause, ReasonLimit}
 	if slices.Index(order, b) > slices.Index(order, a) {
 		return b
 	}
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -72,7 +72,7 @@
 func (p *pool) updateUtilization(now time.Time) {
 	requests, slots := 0.0, 0.0
 	for _, s := range p.endpoints {
-		if !s.Draining && !s.leaving.said && s.health.usable(now) {
+		if !s.Draining && !s.leaving.said && !now.Before(s.pause.until) && s.health.usable(now) {
 			requests += s.requests(now)
 			slots += float64(s.Slots)
 		}
--- a/endpoint/result.go
+++ b/endpoint/result.go
@@ -45,7 +45,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := c.state
-	if !t.maySend(now, c) {
+	if !t.maySend(now, c, 0) {
 		return false
 	}
 	if s.warmup.active(now) {
@@ -67,14 +67,14 @@
 func (t *Table) MaySend(now time.Time, c Choice) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.maySend(now, c)
+	return t.maySend(now, c, 1)
 }
 
 // maySend reports whether the endpoint of a choice is still in use, and has not said that it
-// wants no requests.
-func (t *Table) maySend(now time.Time, c Choice) bool {
+// wants no requests. sent is 1 if the request is counted as one in flight already.
+func (t *Table) maySend(now time.Time, c Choice, sent int) bool {
 	s := c.state
-	return t.byID[s.ID] == s && !s.Draining && !s.replaced && !t.drained[s.Domain] && !t.leaves(now, s, c.LastResort)
+	return t.byID[s.ID] == s && !s.Draining && !s.replaced && !t.drained[s.Domain] && !t.leaves(now, s, c.LastResort) && !s.covers(now, sent)
 }
 
 // pending is a request of this node that is not answered yet.
@@ -120,6 +120,9 @@
 		s.isolating--
 	}
 	s.removePending(c.id)
+	if r.Verdict == VerdictServed || r.Verdict == VerdictFailed {
+		s.recordAfterPause(now)
+	}
 	switch r.Verdict {
 	case VerdictServed:
 		s.health.recordSuccess(now)
--- a/endpoint/simulation_test.go
+++ b/endpoint/simulation_test.go
@@ -37,6 +37,11 @@
 	slowCount        int           // number of slow endpoints, the first ones
 	slowFactor       float64       // multiple of the service time of slow endpoints
 	slowFrom, slowTo time.Duration // when they are slow, since epoch
+	burst            float64       // multiple of the load from slowFrom to slowTo; 0: 1
+	pause            time.Duration // that full endpoints ask for in rejections; 0: none
+	ignorePauses     bool          // nodes don't respect them
+	returnAtOnce     bool          // all requests come back when they end
+	returning        bool          // callers of rejected requests come back while they have time
 	rejectShare      float64       // share of the requests that each endpoint rejects from slowFrom to slowTo, full or not
 
 	rng     *rand.Rand
@@ -60,6 +65,7 @@
 type results struct {
 	requests, inTime, late, rejected int
 
+	inPauses  int             // requests that arrived in pauses, beyond two in each
 	latencies []time.Duration // of the requests answered in time
 }
 
@@ -77,7 +83,14 @@
 	cacheSize int
 	running   int
 	queue     []*request
-	cache     []Object // least recently used first
+	cache     []Object   // least recently used first
+	pauses    []simPause // by node
+}
+
+// simPause is a pause that an endpoint has asked of a node.
+type simPause struct {
+	until    time.Time
+	arrivals int
 }
 
 type request struct {
@@ -110,14 +123,14 @@
 	for r := range sim.regions {
 		for d := range sim.domains {
 			for i := range sim.endpoints {
-				sim.servers[string(sim.endpoint(r, d, i).ID)] = &server{slow: n < sim.slowCount, alternate: sim.alternateFactor > 0 && n%2 == 1, slots: sim.slots, cacheSize: sim.cacheSize}
+				sim.servers[string(sim.endpoint(r, d, i).ID)] = &server{slow: n < sim.slowCount, alternate: sim.alternateFactor > 0 && n%2 == 1, slots: sim.slots, cacheSize: sim.cacheSize, pauses: make([]simPause, sim.nodes)}
 				n++
 			}
 		}
 	}
 	rate := sim.load * float64(n*sim.slots) / simWarm.Seconds()
 	zipf := rand.NewZipf(sim.rng, 1.1, 4, uint64(sim.objects-1))
-	for at := time.Duration(0); at < sim.duration; at += time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second)) {
+	for at := time.Duration(0); at < sim.duration; at += time.Duration(sim.rng.ExpFloat64() / (rate * sim.burstAt(at)) * float64(time.Second)) {
 		object := Object(1 + zipf.Uint64())
 		if sim.uniform {
 			object = Object(1 + sim.rng.IntN(sim.objects))
@@ -178,15 +191,17 @@
 func (sim *simulation) send(now time.Time, req *request) {
 	c, reason := sim.tables[req.node].Choose(now, req.query)
 	if reason != "" || !sim.admit(now, req, c) || !sim.tables[req.node].Start(now, c) {
-		req.results.rejected++
+		sim.reject(now, req, reason)
 		return
 	}
 	req.choice, req.sentAt, req.done, req.attempts = c, now, false, req.attempts+1
 	s := sim.servers[string(c.Endpoint.ID)]
 	since := now.Sub(epoch)
+	sim.countInPause(now, req, s)
 	rejects := since >= sim.slowFrom && since < sim.slowTo && sim.rng.Float64() < sim.rejectShare
 	if rejects || s.running == s.slots && len(s.queue) == sim.queue {
 		sim.finish(now, req, s, VerdictShed)
+		sim.askForPause(now, req, s)
 		sim.retry(now, req)
 		return
 	}
@@ -204,6 +219,53 @@
 	s.queue = append(s.queue, req)
 }
 
+// burstAt returns the multiple of the load at a time.
+func (sim *simulation) burstAt(since time.Duration) float64 {
+	if sim.burst > 0 && since >= sim.slowFrom && since < sim.slowTo {
+		return sim.burst
+	}
+	return 1
+}
+
+// askForPause lets a full endpoint ask the node of a rejected request for a pause.
+func (sim *simulation) askForPause(now time.Time, req *request, s *server) {
+	if sim.pause == 0 {
+		return
+	}
+	s.pauses[req.node] = simPause{until: now.Add(sim.pause)}
+	if !sim.ignorePauses {
+		sim.tables[req.node].RecordPause(now, req.choice, sim.pause)
+		if sim.returnAtOnce {
+			req.choice.state.pause.window = 0
+		}
+	}
+}
+
+// countInPause counts a request that arrives in a pause.
+func (sim *simulation) countInPause(now time.Time, req *request, s *server) {
+	p := &s.pauses[req.node]
+	if !now.Before(p.until) {
+		return
+	}
+	if p.arrivals++; p.arrivals > 2 {
+		sim.results.inPauses++
+	}
+}
+
+// reject tells the caller of a request when to come back.
+func (sim *simulation) reject(now time.Time, req *request, reason Reason) {
+	delay := 500 * time.Millisecond
+	if end, ok := sim.tables[req.node].PauseEnd(now, req.query); ok && reason == ReasonPause {
+		delay = end.Sub(now) + time.Duration(sim.rng.Float64()*0.3*float64(time.Second))
+	}
+	if !sim.returning || now.Add(delay).After(req.arrivedAt.Add(sim.timeout)) {
+		req.results.rejected++
+		return
+	}
+	req.query.Tried = nil
+	sim.after(now, delay, func(now time.Time) { sim.send(now, req) })
+}
+
 // admit reports whether a node accepts a request for the chosen endpoint.
 func (sim *simulation) admit(now time.Time, req *request, c Choice) bool {
 	return !sim.admission || admission.Decide(
@@ -213,8 +275,8 @@
 
 // retry sends a rejected request to another endpoint.
 func (sim *simulation) retry(now time.Time, req *request) {
-	if req.attempts == simAttempts {
-		req.results.rejected++
+	if req.attempts%simAttempts == 0 {
+		sim.reject(now, req, "")
 		return
 	}
 	if !req.repeatable {
--- a/endpoint/statement.go
+++ b/endpoint/statement.go
@@ -23,10 +23,13 @@
 type statements struct {
 	limit   knownLimit
 	leaving knownLeaving
+	pause   pause
 }
 
 // isEmpty reports whether the endpoint has said nothing.
-func (s *statements) isEmpty() bool { return s.limit.at.IsZero() && s.leaving.at.IsZero() }
+func (s *statements) isEmpty() bool {
+	return s.limit.at.IsZero() && s.leaving.at.IsZero() && s.pause.until.IsZero()
+}
 
 // start identifies one start of an endpoint.
 type start struct {
@@ -103,7 +106,7 @@
 }
 
 func (s *statements) age(by time.Duration) {
-	for _, at := range []*time.Time{&s.limit.at, &s.leaving.since, &s.leaving.at} {
+	for _, at := range []*time.Time{&s.limit.at, &s.leaving.since, &s.leaving.at, &s.pause.until} {
 		if !at.IsZero() {
 			*at = at.Add(-by)
 		}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -328,6 +328,7 @@
 	Replaced     bool                 `json:"replaced,omitempty"`
 	FailureScore float64              `json:"trouble,omitempty"` // weight of recent failures, from 0 to 1
 	Limit        *inventory.Rate      `json:"limit,omitempty"`   // named by the endpoint, requests a second of all nodes
+	Pause        float64              `json:"pause,omitempty"`   // that the endpoint has asked this node for: seconds left
 	Slowdown     float64              `json:"speed"`             // service time relative to that of other endpoints
 }
 
@@ -341,7 +342,7 @@
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Slots: s.Slots,
 			InFlight: s.inFlight, Requests: s.requests(now), Draining: s.Draining,
 			Cold: s.warmup.active(now), Backoff: !s.health.usable(now), Replaced: s.replaced,
-			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(),
+			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(), Pause: max(0, s.pause.until.Sub(now).Seconds()),
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/node/signals.go
+++ b/node/signals.go
@@ -31,7 +31,8 @@
 	n.recordLeaving(now, sent, req, c, s.Leaving)
 	if s.Pause.For > 0 {
 		n.metrics.increment("signal.pause")
-		klog.InfoS("endpoint pauses", "endpoint", c.Endpoint.ID, "request", req.id, "for", s.Pause.For)
+		until := n.endpoints.RecordPause(now, c, s.Pause.For)
+		klog.InfoS("endpoint pauses", "endpoint", c.Endpoint.ID, "request", req.id, "for", roundedSeconds(s.Pause.For), "left", roundedSeconds(until.Sub(now)))
 	}
 	if s.Limit.Malformed {
 		return
--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
@@ -99,3 +102,64 @@
 		})
 	}
 }
+
+// TestPausesOfAllEndpointsAreNotWaitedFor guards against callers that wait until their deadline, or
+// come back in vain, while all endpoints of a service have asked for a pause.
+func TestPausesOfAllEndpointsAreNotWaitedFor(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		convey.Convey("They are rejected at once with a delay after which they are served", t, func() {
+			w := h.watch(h.serviceTargets("s")[0])
+			w.load(h, 20, 5*time.Second, "/get/x", "n1")
+			for _, target := range h.serviceTargets("s") {
+				target.SetBehaviour(standin.Behaviour{Work: defaultWork, Slots: 3, Shed: true, Pause: "3"})
+			}
+			w.load(h, 20, 2*time.Second, "/get/x", "n1")
+			for _, target := range h.serviceTargets("s") {
+				target.SetBehaviour(standin.Behaviour{Work: defaultWork, Slots: 3})
+			}
+			for range 5 {
+				resp := h.send(h.t.Context(), "n1", testRequest{object: "a"})
+				if resp.status == http.StatusOK {
+					break
+				}
+				convey.So(resp.reason, convey.ShouldEqual, string(endpoint.ReasonPause))
+				convey.So(resp.took, convey.ShouldBeLessThan, 100*time.Millisecond)
+				after, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+				convey.So(err, convey.ShouldBeNil)
+				time.Sleep(time.Duration(after * float64(time.Second)))
+				convey.So(h.send(h.t.Context(), "n1", testRequest{object: "a"}).status, convey.ShouldEqual, http.StatusOK)
+			}
+		})
+	})
+}
+
+// TestSignalsThatCannotBeRead guards against a service that is lost to what its endpoints say by
+// mistake.
+func TestSignalsThatCannotBeRead(t *testing.T) {
+	cases := map[string]struct {
+		behaviour standin.Behaviour
+		counter   string
+	}{
+		"leaving is text":     {standin.Behaviour{Leaving: "soon"}, "leaving.malformed"},
+		"pause is text":       {standin.Behaviour{Shed: true, Pause: "a while"}, "pause.malformed"},
+		"pause is negative":   {standin.Behaviour{Shed: true, Pause: "-4"}, "pause.malformed"},
+		"pause is not finite": {standin.Behaviour{Shed: true, Pause: "Inf"}, "pause.malformed"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				convey.Convey("It is counted, and changes nothing", t, func() {
+					w := h.watch(h.serviceTargets("s")[0])
+					c.behaviour.Work = defaultWork
+					h.setBehaviour(c.behaviour)
+					w.load(h, 20, 2*time.Second, "/get/x", "n1")
+					h.setBehaviour(standin.Behaviour{Work: defaultWork})
+					time.Sleep(10 * time.Second) // until the failure scores have decayed
+					after := w.load(h, 20, 5*time.Second, "/get/x", "n1")
+					convey.So(served(after), convey.ShouldEqual, len(after))
+					convey.So(h.nodes["n1"].metrics.counterValues()[c.counter], convey.ShouldBeGreaterThan, 0)
+				})
+			})
+		})
+	}
+}
--- a/node/steer.go
+++ b/node/steer.go
@@ -12,6 +12,7 @@
 	"github.com/wasabiwheel/wasabiwheel/caller"
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/exchange"
+	"github.com/wasabiwheel/wasabiwheel/inventory"
 )
 
 const (
@@ -75,9 +76,10 @@
 }
 
 // preferPrevious returns the response of the last attempt, or the rejection if nothing
-// has been attempted.
+// has been attempted. A rejection that says when endpoints end their pauses tells more than that of
+// one endpoint.
 func preferPrevious(last, refused response) response {
-	if last.outcome == "" {
+	if last.outcome == "" || last.outcome == caller.OutcomeNotRun && refused.reason == caller.Reason(endpoint.ReasonPause) {
 		return refused
 	}
 	return last
@@ -114,11 +116,7 @@
 	}
 	if reason != "" {
 		req.excluded = n.endpoints.Excluded(now, query)
-		if reason == endpoint.ReasonLimit {
-			resp := n.limitedResponse(now, req, query)
-			return endpoint.Choice{}, &resp
-		}
-		resp := notRun(caller.Reason(reason), admission.RetryAfter(defaultRetryAfter, remaining))
+		resp := n.noEndpointResponse(now, req, query, reason)
 		return endpoint.Choice{}, &resp
 	}
 	decision := req.admit(choice, remaining)
@@ -134,6 +132,28 @@
 	return choice, nil
 }
 
+// noEndpointResponse rejects a request for which no endpoint can be used now.
+func (n *Node) noEndpointResponse(now time.Time, req *request, q endpoint.Query, reason endpoint.Reason) response {
+	switch reason {
+	case endpoint.ReasonLimit:
+		return n.limitedResponse(now, req, q)
+	case endpoint.ReasonPause:
+		return n.pausedResponse(now, req, q)
+	}
+	return notRun(caller.Reason(reason), admission.RetryAfter(defaultRetryAfter, req.remaining(now)))
+}
+
+// pausedResponse rejects a request whose endpoints have asked for pauses. Callers are told to return
+// after the first pause that ends, one after the other at the rate at which they can be served.
+func (n *Node) pausedResponse(now time.Time, req *request, q endpoint.Query) response {
+	wait := defaultRetryAfter
+	if end, ok := n.endpoints.PauseEnd(now, q); ok {
+		wait = end.Sub(now)
+	}
+	rate := n.endpoints.PausedRate(now, q) / inventory.Rate(max(1, len(n.members.Entries())))
+	return notRun(caller.Reason(endpoint.ReasonPause), max(wait, n.returns.Schedule(now, req.service, wait, rate)))
+}
+
 // admit decides whether a request may be sent to the chosen endpoint.
 func (req *request) admit(c endpoint.Choice, remaining time.Duration) admission.Verdict {
 	return admission.Decide(
@@ -201,7 +221,7 @@
 		return n.callerLeft(), false
 	case exchange.NotRun(failed):
 		unsent = isUnsent(failed.Kind)
-		return notRun(caller.Reason(failed.Kind), admission.RetryAfter(max(failed.Pause.For, defaultRetryAfter), req.remaining(now))), unsent
+		return notRun(caller.Reason(failed.Kind), admission.RetryAfter(defaultRetryAfter, req.remaining(now))), unsent
 	default:
 		return unknown(failed.Kind), false
 	}
