--- a/standin/network.go
+++ b/standin/network.go
@@ -41,6 +41,7 @@
 	listeners    map[string]*listener // by address
 	links        map[*link]bool
 	cut          map[Path]bool
+	refused      map[Path]bool
 	isolated     map[string]bool // by IP address
 	kills        map[string]int  // number of calls of Kill, by IP address
 	cutsChanged  chan struct{}   // closed and replaced when cut or isolated changes
@@ -59,6 +60,7 @@
 		listeners:    map[string]*listener{},
 		links:        map[*link]bool{},
 		cut:          map[Path]bool{},
+		refused:      map[Path]bool{},
 		isolated:     map[string]bool{},
 		kills:        map[string]int{},
 		cutsChanged:  make(chan struct{}),
@@ -94,6 +96,28 @@
 // Heal reverts Cut. Data that was held back is delivered.
 func (n *Network) Heal(p Path) { n.setCut(p, false) }
 
+// SetRefused sets whether new connections on a path are refused. Open ones live on.
+func (n *Network) SetRefused(p Path, refused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[p] = refused
+}
+
+// Break closes the open connections on a path.
+func (n *Network) Break(p Path) {
+	n.mu.Lock()
+	var broken []*link
+	for l := range n.links {
+		if l.path == p {
+			broken = append(broken, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range broken {
+		l.close()
+	}
+}
+
 // Isolate permanently cuts a VM off from all others, as a power failure does.
 func (n *Network) Isolate(ip string) {
 	n.mu.Lock()
@@ -185,6 +209,9 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[address]
+	if n.refused[path] {
+		l = nil
+	}
 	n.mu.Unlock()
 	if err := n.traverse(ctx, Path{From: path.To, To: path.From}); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
