reach, node: a node that reaches no endpoint forwards its requests to other nodes

Cause: a node decided by its own links alone, and took their fault for that of the endpoints. Class: evidence about a path is taken for evidence about its far end.

Package reach tells the two apart: connections that can't be opened to several endpoints, or silence while requests wait, lead to probes of endpoints of other services and failure domains; only if all fail the node counts as cut off, within a second. Then requests go to another node, one hop at most, nearest region first and only to homes, with method, path, body, deadline, cancellation, attempts and configuration version. Requests whose endpoints alone can't be reached from here are forwarded, too, unless two nodes have none either. Failures since the links were cut are forgiven, waiting attempts that may be repeated go to another node, and requests return to the links over two seconds. A node that is cut off, leaving, out of date or short of processor time takes none; if none is left, callers are rejected at once (cutoff).

--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -33,6 +33,7 @@
 	failureScore   float64       // weight of recent failures, from 0 to 1
 	failureScoreAt time.Time     // time of the last change of failureScore
 	failures       int64
+	answeredAt     time.Time // when it last answered, whatever
 	slowdown       float64   // service time relative to that of other endpoints; 0: unknown
 	slowdownAt     time.Time // time of the last change of slowdown
 }
@@ -73,7 +74,7 @@
 }
 
 // recordAnswer records that the endpoint can be reached.
-func (h *health) recordAnswer() { h.timeouts, h.backoff = 0, 0 }
+func (h *health) recordAnswer(now time.Time) { h.timeouts, h.backoff, h.answeredAt = 0, 0, now }
 
 // currentSlowdown returns the slowdown, which decays to 1 over time.
 func (h *health) currentSlowdown(now time.Time) float64 {
@@ -101,7 +102,7 @@
 
 // recordSuccess records a request that was served.
 func (h *health) recordSuccess(now time.Time) {
-	h.recordAnswer()
+	h.recordAnswer(now)
 	score := h.currentFailureScore(now)
 	h.failureScore, h.failureScoreAt = score*(1-failureStep), now
 }
--- a/endpoint/result.go
+++ b/endpoint/result.go
@@ -128,10 +128,10 @@
 		s.health.recordSuccess(now)
 		t.recordLatency(now, c, r)
 	case VerdictFailed:
-		s.health.recordAnswer()
+		s.health.recordAnswer(now)
 		s.health.recordFailure(now)
 	case VerdictShed:
-		s.health.recordAnswer()
+		s.health.recordAnswer(now)
 		s.health.recordFailure(now)
 		s.load.recordRejection(now, r.Running+r.Waiting, s.Slots)
 	case VerdictUnreachable:
@@ -143,7 +143,7 @@
 		s.replaced = true
 	case VerdictInconclusive:
 	}
-	if r.Verdict != VerdictUnreachable && r.Verdict != VerdictTimeout && s.health.unreachable {
+	if r.Verdict != VerdictUnreachable && r.Verdict != VerdictTimeout && r.Verdict != VerdictInconclusive && s.health.unreachable {
 		s.health.unreachable = false
 		s.warmup.assumeRestart(now, s.pool.service.Warmup.Duration)
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -93,6 +93,7 @@
 	KindBroken      Kind = "broken"     // the connection failed or the response is invalid; the request may have run
 	KindTimeout     Kind = "timeout"    // no complete response in time; the request may have run
 	KindCanceled    Kind = "unanswered" // the caller canceled the request; it may have run
+	KindAbandoned   Kind = "abandoned"  // the node gave up the exchange; the request may have run
 	KindUnsigned    Kind = "unsigned"   // a success response without a signature; the request may have run
 	KindCallerBody  Kind = "caller"     // the caller's body could not be read completely; the request may have run
 )
--- a/member/member.go
+++ b/member/member.go
@@ -55,7 +55,8 @@
 	Entry           inventory.EntryID `cbor:"entry"`
 	Ready           bool              `cbor:"ready"` // the node serves callers and is not shutting down
 	Version         inventory.Version `cbor:"version"`
-	StoreReachedFor time.Duration     `cbor:"reached"` // time for which the node has reached the store without interruption
+	CutOff          bool              `cbor:"cutoff,omitempty"` // the node reaches no endpoint
+	StoreReachedFor time.Duration     `cbor:"reached"`          // time for which the node has reached the store without interruption
 }
 
 // Table holds the entries in the store and the last heartbeat received from each node.
--- a/node/admin.go
+++ b/node/admin.go
@@ -13,6 +13,7 @@
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/quarantine"
+	"github.com/wasabiwheel/wasabiwheel/reach"
 )
 
 // Paths on the admin address.
@@ -36,6 +37,7 @@
 	Drained     []inventory.DomainID `json:"drained"`
 	InFlight    int                  `json:"work"` // requests in flight
 	Endpoints   []endpoint.Status    `json:"endpoints"`
+	Reach       reach.State          `json:"reach"`       // whether the node reaches endpoints
 	Suspects    int                  `json:"suspects"`    // requests that were running in a crash of their endpoint
 	Quarantined int                  `json:"quarantined"` // requests in quarantine
 	Counters    map[string]int64     `json:"counters"`
@@ -110,6 +112,7 @@
 		Drained:     n.drainedDomains(),
 		InFlight:    int(n.inFlight.Load()),
 		Endpoints:   n.endpoints.Status(now),
+		Reach:       n.reachState(),
 		Counters:    n.metrics.counterValues(),
 	}
 	s.Suspects, s.Quarantined = n.quarantine.Counts(now)
--- a/node/follow.go
+++ b/node/follow.go
@@ -328,6 +328,7 @@
 	n.learnQuarantines(quarantines, "store")
 	n.members.SetEntries(entries)
 	n.setPermitPeers(entries)
+	n.setForwarders(entries)
 	n.relay.SetPeers(peers)
 	ids := n.members.Entries()
 	n.endpoints.SetColdSenders(endpoint.ColdSenders{Self: n.settings.Load().ID, Entries: ids})
--- a/node/handler.go
+++ b/node/handler.go
@@ -25,7 +25,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	now := time.Now()
-	req, resp := n.handle(w, r, now)
+	req, resp := n.handle(w, r, now, nil)
 	if n.state() != StateServing || req != nil && req.upload.stopped.Load() { // the current state: the node may have begun to leave during the request
 		w.Header().Set("Connection", "close")
 	}
@@ -33,8 +33,9 @@
 	n.recordRequest(r, req, resp)
 }
 
-// handle processes a request. req is nil if no route matched.
-func (n *Node) handle(w http.ResponseWriter, r *http.Request, now time.Time) (req *request, resp response) {
+// handle processes a request of a caller or, with from, of another node. req is nil if no route
+// matched.
+func (n *Node) handle(w http.ResponseWriter, r *http.Request, now time.Time, from *forwardedRequest) (req *request, resp response) {
 	table, limits := n.routes.Load(), n.limits.Load()
 	if table == nil || limits == nil {
 		return nil, notRun(ReasonStarting, startingRetryAfter)
@@ -44,6 +45,9 @@
 		return nil, rejected(ReasonRoute, http.StatusNotFound)
 	}
 	req = n.newRequest(w, r, matched, table.Version, now)
+	if from != nil {
+		req.forwarded, req.sent, req.counted = from, from.attempts, from.counted
+	}
 	if err := req.readBody(r, limits.MaxBodyBytes); err != nil {
 		return req, req.bodyErrorResponse(err)
 	}
@@ -113,6 +117,9 @@
 	if resp.retryAfter > 0 {
 		line = append(line, "after", roundedSeconds(resp.retryAfter))
 	}
+	if req.forwarded != nil {
+		line = append(line, "from", req.forwarded.from)
+	}
 	if req.refused != nil {
 		line = append(line, "best", req.refused.String(), "takes", roundedSeconds(req.expectedTime), "bound", roundedSeconds(req.allowedTime))
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -57,6 +57,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-exitMargin))
 	defer cancel()
 	err := requests.shutdown(ctx)
+	n.awaitForwarded(ctx)
 	if err == nil {
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -5,9 +5,10 @@
 // serves callers once it has read a configuration, the endpoints and the drains.
 //
 // Nodes exchange heartbeats, the changes of the store, news of endpoints, permits for endpoints
-// that name a limit, and reports of requests that crash endpoints. Each node decides on its callers' requests independently.
+// that name a limit, and reports of requests that crash endpoints. Each node decides on its callers'
+// requests independently; one that reaches no endpoint forwards them to others.
 //
-// The tables (endpoints, members, retries, permits, quarantines, connections) each have their own lock, and none
+// The tables (endpoints, members, retries, permits, quarantines, forwarders, connections) each have their own lock, and none
 // calls another, so at most one of these locks is held at a time.
 //
 // # Usage
@@ -38,6 +39,7 @@
 	"github.com/wasabiwheel/wasabiwheel/permit"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/quarantine"
+	"github.com/wasabiwheel/wasabiwheel/reach"
 	"github.com/wasabiwheel/wasabiwheel/retry"
 	"github.com/wasabiwheel/wasabiwheel/route"
 )
@@ -134,6 +136,10 @@
 	quarantine    *quarantine.Table
 	crashChecks   crashChecks
 	pool          *exchange.Pool
+	reach         *reach.Detector
+	attempts      directAttempts
+	forwarders    *reach.Forwarders
+	forwardPool   *exchange.Pool // connections to other nodes
 	mirror        *discovery.Mirror
 	follower      *discovery.Follower
 	relay         *discovery.Relay
@@ -143,6 +149,8 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	inFlight   atomic.Int64                   // requests in flight
+	forwarded  atomic.Int64                   // those of other nodes
+	tickDelay  atomic.Int64                   // of the last tick, a time.Duration
 	leaveEnd   atomic.Int64                   // when the node exits at the latest, a time.Duration after started; 0: it does not leave
 	plan       atomic.Pointer[discovery.Plan] // how the node currently obtains the changes of the store
 	configured chan struct{}
@@ -185,6 +193,10 @@
 	n.quarantine = quarantine.New()
 	n.crashChecks.checks = map[inventory.EndpointID]*crashCheck{}
 	n.pool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
+	n.reach = reach.New(now)
+	n.attempts.waiting = map[reach.Attempt]context.CancelCauseFunc{}
+	n.forwarders = reach.NewForwarders(reach.Node{ID: s.ID, Domain: s.Domain, Region: s.region()})
+	n.forwardPool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network})
 	n.storeState = newStoreState()
 	followed := []platform.Collection{platform.Configurations, platform.Endpoints, platform.Drains, platform.Entries}
 	n.mirror = discovery.NewMirror(n, restorePolicy{}, followed...)
@@ -239,6 +251,7 @@
 	n.background.Go(func() { n.tick(n.ctx) })
 	n.background.Go(func() { n.maintainSubscriptions(n.ctx) })
 	n.background.Go(func() { n.maintainEntry(n.ctx) })
+	n.background.Go(func() { n.watchReach(n.ctx) })
 	select {
 	case <-n.configured:
 	case <-ctx.Done():
@@ -286,6 +299,7 @@
 		n.checkEra()
 		n.permits.Tick(now)
 		n.pool.CloseExpired(now)
+		n.forwardPool.CloseExpired(now)
 	}
 }
 
@@ -293,6 +307,7 @@
 // goroutines wait for the processor, so that its state may be stale.
 func (n *Node) recordTick(gap time.Duration) {
 	delay := max(0, gap-tickInterval)
+	n.tickDelay.Store(int64(delay))
 	n.metrics.observe("delay.tick", delay)
 	if delay >= minLoggedDelay {
 		klog.InfoS("delayed", "for", roundedSeconds(delay), "inflight", n.inFlight.Load())
--- a/node/peers.go
+++ b/node/peers.go
@@ -79,7 +79,13 @@
 	})
 	mux.HandleFunc("POST "+pathPermits, n.servePermit)
 	mux.HandleFunc("POST "+pathCrashes, n.serveCrash)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerForward) != "" { // any method and path
+			n.serveForwarded(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // serveSubscriber sends updates to a subscriber until it disconnects.
@@ -125,7 +131,7 @@
 // changes of the store that it does not have.
 func (n *Node) sendUpdate(ctx context.Context, c *websocket.Conn, to *subscriber) error {
 	m := peerUpdate{
-		Beat:      member.Heartbeat{Entry: n.settings.Load().ID, Ready: n.isReady(), Version: n.version()},
+		Beat:      member.Heartbeat{Entry: n.settings.Load().ID, Ready: n.isReady(), Version: n.version(), CutOff: n.isCutOff()},
 		Hops:      n.relay.Hops(time.Now(), n.follower.IsReading()),
 		Positions: n.mirror.Positions(),
 	}
@@ -320,6 +326,9 @@
 	n.endpoints.Learn(now, m.Gossip)
 	n.learnQuarantines(m.Quarantines, m.Beat.Entry)
 	n.quarantine.Suspect(now, m.Suspicions)
+	if m.Beat.CutOff {
+		n.forwarders.Avoid(now, m.Beat.Entry)
+	}
 	n.relay.RecordHeartbeat(now, m.Beat.Entry, m.Hops, m.Positions)
 	n.endpoints.StoreReachedElsewhere(now, m.Beat.StoreReachedFor)
 	if n.members.RecordHeartbeat(now, m.Beat) {
--- a/node/request.go
+++ b/node/request.go
@@ -38,6 +38,10 @@
 	received   time.Time
 	deadline   time.Time // the earlier of the caller's and the route's
 
+	forwarded     *forwardedRequest // what the node says that sent it; nil: it comes from a caller
+	unhelped      bool              // no other node could serve it
+	counted       bool              // in the retry budget
+	sent          int               // attempts in which it may have reached an endpoint
 	attempts      []attempt
 	remote        string              // address of the caller
 	isolated      bool                // it probably crashes the endpoint that runs it
@@ -153,3 +157,14 @@
 	}
 	return ids
 }
+
+// unreached returns the number of endpoints that could not be reached for the request.
+func (req *request) unreached() int {
+	count := 0
+	for _, a := range req.attempts {
+		if a.result == string(exchange.KindUnreachable) {
+			count++
+		}
+	}
+	return count
+}
--- a/node/steer.go
+++ b/node/steer.go
@@ -13,6 +13,7 @@
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/exchange"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/reach"
 )
 
 const (
@@ -27,17 +28,22 @@
 // steer serves a request at the best endpoint. A non-idempotent request is not sent
 // again once it may have run.
 func (n *Node) steer(ctx context.Context, req *request) response {
-	n.retries.RecordRequest(req.received, req.service)
 	var last response
-	sent := 0
+	sent := 0 // by this node; req.sent counts those of another one, too
 	for range req.route.Attempts + maxUnsentAttempts + maxDeniedInAll {
 		now := time.Now()
 		if isCanceled(ctx) {
 			return n.callerLeft()
 		}
+		if n.isForwarded(now, req) {
+			if resp, done := n.steerElsewhere(ctx, now, req, last); done {
+				return resp
+			}
+		}
+		n.countRequest(req)
 		choice, refused := n.chooseEndpoint(now, req)
 		if refused != nil {
-			return preferPrevious(last, *refused)
+			return n.forwardOr(ctx, req, preferPrevious(last, *refused))
 		}
 		if choice.Limited && !n.obtainPermit(ctx, req, choice) {
 			continue
@@ -53,10 +59,16 @@
 		last = mergeResponses(last, next)
 		if !unsent {
 			sent++
+			req.sent++
 		}
-		if isBroken(next) && !n.examine(ctx, req, choice) || !n.mayRetry(req, last) || sent >= req.route.Attempts {
+		if isBroken(next) && !n.examine(ctx, req, choice) || !n.mayRetry(req, last) || req.sent >= req.route.Attempts {
 			return last
 		}
+		if req.unreached() >= maxUnreached {
+			if resp := n.forwardOr(ctx, req, last); resp.reason != last.reason {
+				return resp
+			}
+		}
 		n.metrics.increment("retry." + string(last.reason))
 	}
 	if last.outcome == "" {
@@ -65,6 +77,30 @@
 	return last
 }
 
+// steerElsewhere lets another node serve a request, since this one reaches no endpoint. It reports
+// false if no node can and kept connections to endpoints may still live.
+func (n *Node) steerElsewhere(ctx context.Context, now time.Time, req *request, last response) (resp response, done bool) {
+	if req.sent > 0 && !n.retries.AllowRetry(now, req.service) {
+		n.metrics.increment("retry.refused")
+		return last, true
+	}
+	if resp, ok := n.forward(ctx, req); ok && helpOf(resp) == reach.Helped {
+		return mergeResponses(last, resp), true
+	}
+	if n.reach.IsSilent(now) {
+		return preferPrevious(last, cutOffResponse(req)), true
+	}
+	return response{}, false
+}
+
+// countRequest counts a request in the retry budget, once.
+func (n *Node) countRequest(req *request) {
+	if !req.counted {
+		req.counted = true
+		n.retries.RecordRequest(req.received, req.service)
+	}
+}
+
 // mergeResponses returns the response after one more attempt. If an earlier attempt may
 // have run, a later attempt that did not run does not change the outcome.
 func mergeResponses(last, next response) response {
@@ -180,6 +216,8 @@
 func (n *Node) attempt(ctx context.Context, req *request, c endpoint.Choice) (resp response, unsent bool) {
 	ctx, cancel := req.context(ctx)
 	defer cancel()
+	ctx, done := n.track(ctx, req)
+	defer done()
 	start := time.Now()
 	if c.LastResort {
 		n.metrics.increment("leaving.doubted")
@@ -204,11 +242,18 @@
 	if err != nil && !errors.As(err, &failed) {
 		failed = &exchange.Error{Op: "exchange", Kind: exchange.KindBroken, Err: err}
 	}
+	if failed != nil && errors.Is(context.Cause(ctx), errCutOff) {
+		failed.Kind = exchange.KindAbandoned
+	}
+	n.recordReach(now, c, endpointResponse, failed)
 	if failed == nil && endpointResponse.DialTime > 0 {
 		n.endpoints.RecordRoundTrip(c, endpointResponse.DialTime)
 	}
 	signals := signalsOf(endpointResponse, failed)
 	result := resultOf(endpointResponse, failed, now.Sub(start)-endpointResponse.DialTime)
+	if failed != nil && n.wasCutOff(now, start) {
+		result.Verdict = endpoint.VerdictInconclusive
+	}
 	n.endpoints.Finish(now, c, result)
 	n.recordSignals(now, start, req, c, signals)
 	req.stale = failed != nil && failed.Reused && now.Sub(start) < c.RoundTrip+staleMargin
