node: links that are cut are no evidence against the requests that break on them

Cause: the check of the crash looked at one endpoint only.

A deployment of a single endpoint has no other to compare with, and records no crash.

--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -99,3 +100,28 @@
 		})
 	}
 }
+
+// TestCutOffNodesAccuseNoRequest guards against requests that are taken for the cause of a crash
+// since the links of their node were reset.
+func TestCutOffNodesAccuseNoRequest(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		convey.Convey("Resets and refused connections of one node are no evidence", t, func() {
+			w := h.watch(h.serviceTargets("s")[0])
+			w.load(h, 40, 3*time.Second, "/get/x", "n1", "n2")
+			h.setBehaviour(standin.Behaviour{Work: 300 * time.Millisecond})
+			for range 4 {
+				var wait sync.WaitGroup
+				wait.Go(func() { w.load(h, 40, 2*time.Second, "/get/x", "n1", "n2") })
+				time.Sleep(time.Second)
+				h.cutEndpoints(cutReset, true, anyEndpoint, "n1")
+				time.Sleep(2 * time.Second)
+				wait.Wait()
+				h.cutEndpoints(cutReset, false, anyEndpoint, "n1")
+				time.Sleep(3 * time.Second)
+			}
+			convey.So(h.counter("n1", "attempt.broken"), convey.ShouldBeGreaterThan, 0)
+			convey.So(h.counter("n1", "crash.request"), convey.ShouldEqual, 0)
+			convey.So(h.counter("n1", "crash.endpoint"), convey.ShouldEqual, 0)
+		})
+	})
+}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -31,6 +31,7 @@
 	maxVerdictWait  = 250 * time.Millisecond // for which a retry waits for the judges of its request
 	crashCheckValid = 300 * time.Millisecond // an endpoint takes longer to start again
 	crashDialTime   = 300 * time.Millisecond // if the round trip to the endpoint is unknown
+	crashWitnesses  = 2                      // other endpoints that are checked when one refuses connections
 	maxSampleURI    = 200                    // bytes of a path that are reported
 	maxBrokenInAll  = 2                      // attempts of a request whose endpoints crash
 	probeWaitShare  = 2                      // divisor of a request's time, for which it waits for another attempt of the same one
@@ -60,7 +61,8 @@
 }
 
 // hasCrashed reports whether the process of an endpoint that has broken a connection has ended:
-// it refuses connections. A connection that breaks alone, or a link that is cut, proves nothing.
+// it refuses connections, and another endpoint does not. A connection that breaks alone, or links that
+// are cut, prove nothing.
 func (n *Node) hasCrashed(ctx context.Context, c endpoint.Choice) bool {
 	registered, known := n.endpoints.Endpoint(c.Endpoint.ID)
 	if !known || registered.Draining || registered.Address != c.Endpoint.Address {
@@ -116,7 +118,8 @@
 	if err == nil {
 		_ = conn.Close() // nothing was sent
 	}
-	check.crashed, check.at = errors.Is(err, syscall.ECONNREFUSED), time.Now()
+	check.crashed = errors.Is(err, syscall.ECONNREFUSED) && n.reachesOther(c.Endpoint.ID)
+	check.at = time.Now()
 	if check.crashed {
 		n.metrics.increment("crash.endpoint")
 		n.endpoints.RecordCrash(check.at, c)
@@ -124,6 +127,17 @@
 	close(check.done)
 }
 
+// reachesOther reports whether a connection to another endpoint can be opened. If not, this node's
+// own links may be cut, and a refused connection says nothing of the endpoint.
+func (n *Node) reachesOther(than inventory.EndpointID) bool {
+	for ok := range n.dialAll(n.ctx, n.endpoints.ProbeTargets(time.Now(), crashWitnesses, than)) {
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
 // admitSuspect rejects a request in quarantine. One that is suspected waits while another node
 // tries it, and is rejected if that takes long and one more crash would be proof.
 func (n *Node) admitSuspect(ctx context.Context, req *request) (refused *response) {
