platform, node: an entry of another writer that can't be read hides no others

Other operators' report: after one odd entry among those of the endpoints, the machines that read the list ended, or stopped following it. It can happen here: encoding/json fails a whole page or watch for one entry that is nested more than 10,000 deep, has a revision that does not fit, or is no object. Nodes then counted the store as lost (11 s and on in the test) and followed no changes; one such drain failed even the probe of the store. Slots of 9e18 or an address of 0.0.0.0 were accepted, and warm-up times overflowed differently on each kind of machine.

An object that can't be read keeps its name and revision, so that it replaces its older state: an endpoint is not used, a configuration or a node's entry stays as it was. One without a readable name is left out, counted (store.malformed) and logged; an older state of it ends with the next list.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -66,6 +66,9 @@
 	Reached()
 	// Failed reports that a call failed. The Follower retries it.
 	Failed(kind platform.Collection, cause error)
+	// Malformed reports that objects of a list or of changes are left out, since not even their
+	// names can be read.
+	Malformed(kind platform.Collection, count int)
 	// Listed reports that a collection was listed, and what was known of it before.
 	Listed(kind platform.Collection, l platform.Listing, known Position)
 }
@@ -260,6 +263,7 @@
 		f.recordEra(c.Era)
 		return &platform.Error{Op: "watch", Kind: platform.KindCompacted, Name: string(kind)}
 	}
+	f.reportMalformed(kind, c.Malformed)
 	f.mirror.ApplyChanges(kind, c)
 	return nil
 }
@@ -272,10 +276,17 @@
 	}
 	f.setEra(l.Era)
 	f.observer.Listed(kind, l, known)
+	f.reportMalformed(kind, l.Malformed)
 	f.mirror.ApplyListing(kind, l)
 	return nil
 }
 
+func (f *Follower) reportMalformed(kind platform.Collection, count int) {
+	if count > 0 {
+		f.observer.Malformed(kind, count)
+	}
+}
+
 // isBehind reports whether a later era of the store is known than this one.
 func (f *Follower) isBehind(era platform.Era) bool {
 	f.mu.Lock()
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -66,6 +66,8 @@
 
 func (s *sink) Listed(platform.Collection, platform.Listing, discovery.Position) {}
 
+func (s *sink) Malformed(platform.Collection, int) {}
+
 func (s *sink) spec(name string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/member/member.go
+++ b/member/member.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 )
@@ -50,6 +51,25 @@
 	Start         int64              `json:"start" cbor:"start"`   // of the process, Unix nanoseconds
 }
 
+// maxShare bounds the share of a processor in an entry: it weights what a node gets.
+const maxShare = 1024
+
+// Check returns why an entry that was stored under an id can't be used, or nil.
+func (e Entry) Check(id inventory.EntryID) error {
+	if e.ID != id {
+		return errors.Newf("it is of %q", e.ID)
+	}
+	for _, address := range []string{e.CallerAddress, e.PeerAddress, e.AdminAddress} {
+		if err := inventory.CheckAddress(address); err != nil {
+			return err
+		}
+	}
+	if !(e.Share > 0 && e.Share <= maxShare) {
+		return errors.Newf("share of a processor of %g", e.Share)
+	}
+	return nil
+}
+
 // Heartbeat is the message that a running node sends periodically to its subscribers.
 type Heartbeat struct {
 	Entry           inventory.EntryID `cbor:"entry"`
--- a/node/follow.go
+++ b/node/follow.go
@@ -108,6 +108,12 @@
 	klog.InfoS("store call failed", "collection", kind, "cause", cause)
 }
 
+// Malformed reports that objects of a collection are left out.
+func (n *Node) Malformed(kind platform.Collection, count int) {
+	n.metrics.increment("store.malformed")
+	klog.InfoS("objects ignored", "collection", kind, "count", count, "cause", "malformed")
+}
+
 // Listed logs that a collection was listed by this node.
 func (n *Node) Listed(kind platform.Collection, l platform.Listing, known discovery.Position) {
 	klog.InfoS("listed", "collection", kind, "count", len(l.Objects), "era", l.Era, "revision", l.At, "known", known.At)
@@ -308,10 +314,14 @@
 		id := inventory.EntryID(ev.Object.Name)
 		var e storedEntry
 		err := json.Unmarshal(ev.Object.Spec, &e)
+		if err == nil {
+			err = e.Entry.Check(id)
+		}
 		switch {
 		case ev.Removed:
 			delete(n.storeState.entries, id)
-		case err != nil || e.ID != id:
+		case err != nil: // a state from before stays: its node writes it again
+			n.metrics.increment("entry.malformed")
 			klog.InfoS("entry ignored", "entry", id, "cause", err)
 		default:
 			n.storeState.entries[id] = e.Entry
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,6 +11,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -62,6 +63,7 @@
 	fault        Fault
 	counts       Counts
 	faultChanged chan struct{} // closed and replaced when the fault changes
+	corrupt      []replacement
 }
 
 // NewPlatform returns an empty store.
@@ -238,6 +240,45 @@
 	}
 }
 
+// Corrupt replaces an object by a text that another writer left there, also one that is no JSON.
+// {name} and {revision} in it stand for the object's own.
+func (p *Platform) Corrupt(kind, name, text string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := key{kind, name}
+	o := p.store.objects[k]
+	_, exists := p.store.objects[k]
+	o.Metadata.Name = name
+	o.Spec, o.Status = json.RawMessage(strconv.Quote(text[:min(len(text), maxCorruptMark)])), nil
+	o = *p.store.put(k, o, !exists)
+	text = strings.NewReplacer("{name}", name, "{revision}", strconv.FormatUint(o.Metadata.Revision, 10)).Replace(text)
+	if data, err := json.Marshal(o); err == nil {
+		p.corrupt = append(p.corrupt, replacement{data, []byte(text)})
+	}
+}
+
+// replacement is a text in a response and what is sent in its place.
+type replacement struct{ from, to []byte }
+
+// maxCorruptMark is the length of the part of a text that makes the object it replaces unique.
+const maxCorruptMark = 100
+
+// writeObjects sends a response that contains objects, with those that were corrupted replaced.
+func (p *Platform) writeObjects(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	p.mu.Lock()
+	for _, r := range p.corrupt {
+		data = bytes.ReplaceAll(data, r.from, r.to)
+	}
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // fails only if the caller has disconnected
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -268,7 +309,7 @@
 		first++
 	}
 	last := min(len(items), first+pageItems)
-	writeJSON(w, http.StatusOK, listResponse{Items: append([]object{}, items[first:last]...), HasMore: last < len(items), At: revision})
+	p.writeObjects(w, listResponse{Items: append([]object{}, items[first:last]...), HasMore: last < len(items), At: revision})
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, k key) {
@@ -280,7 +321,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	p.writeObjects(w, o)
 }
 
 // watchResponse is the answer to a watch.
@@ -318,7 +359,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || expired:
-			writeJSON(w, http.StatusOK, watchResponse{Events: append([]event{}, events...), At: at})
+			p.writeObjects(w, watchResponse{Events: append([]event{}, events...), At: at})
 			return
 		}
 		select {
