soak: nodes are cut off from all endpoints, and their callers must be served

The soak's faults of links are injected by proxies, which accept connections themselves, so a node never found an endpoint refused or silent at the connection. Its nodes now run as a command that opens connections to endpoints through links that hang, are reset, or refuse new connections as a file says, from an address of its own, so that the checks know which node sent a request. Two cuts of random shares of the nodes come in each run, beside the plan, which stays as it is.

--- a/cmd/wasabiwheel/main.go
+++ b/cmd/wasabiwheel/main.go
@@ -44,6 +44,7 @@
 	Experiment experimentCommand `command:"experiment" description:"compare traffic steering systems under the same load and faults"`
 	Standin    standinCommand    `command:"standin" description:"run stand-ins for the platform and the targets, for tests"`
 	Soak       soakCommand       `command:"soak" description:"run nodes as processes, inject faults, and check the guarantees of the system"`
+	SoakNode   soakNodeCommand   `command:"soak-node" hidden:"true" description:"run a node for the soak"`
 	Version    versionCommand    `command:"version" description:"print the version"`
 	Try        tryCommand        `command:"try" description:"run an example deployment end to end in one process"`
 }
--- a/cmd/wasabiwheel/node.go
+++ b/cmd/wasabiwheel/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/wasabiwheel/wasabiwheel/node"
 	"github.com/wasabiwheel/wasabiwheel/platform"
+	"github.com/wasabiwheel/wasabiwheel/soak"
 )
 
 type nodeCommand struct {
@@ -22,7 +23,23 @@
 
 // Execute runs the node until SIGTERM or SIGINT, which shut it down gracefully.
 // SIGHUP reloads its settings.
-func (c *nodeCommand) Execute([]string) error {
+func (c *nodeCommand) Execute([]string) error { return c.run(nil) }
+
+// soakNodeCommand runs a node for the soak, whose links to the endpoints can be cut.
+type soakNodeCommand struct {
+	nodeCommand
+	Links     string `long:"links" required:"true" value-name:"FILE" description:"file that says how the links are cut"`
+	Endpoints string `long:"endpoints" required:"true" value-name:"PREFIX" description:"prefix of the addresses of endpoints"`
+	Source    string `long:"source" required:"true" value-name:"IP" description:"IP address from which connections to endpoints are opened"`
+}
+
+// Execute runs the node like the node command.
+func (c *soakNodeCommand) Execute([]string) error {
+	return c.run(soak.NewLinks(c.Links, c.Endpoints, c.Source))
+}
+
+// run runs the node on a network; nil: that of the VM.
+func (c *nodeCommand) run(network node.Network) error {
 	s, err := node.ReadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -37,7 +54,7 @@
 		close(done)
 		<-written
 	}()
-	n := node.New(s, node.Options{Protocol: selectProtocol(s), SinceBoot: sinceBoot})
+	n := node.New(s, node.Options{Network: network, Protocol: selectProtocol(s), SinceBoot: sinceBoot})
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	reload := make(chan os.Signal, 1)
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -65,6 +65,7 @@
 // requestState is a request with its observed progress.
 type requestState struct {
 	Request
+	sender   int // node that last sent it to an endpoint; unknownSender: unknown
 	arrivals int // at endpoints
 	runs     int
 	ended    time.Time
@@ -210,6 +211,12 @@
 	return c.undisturbed(from, to, ScopeOfNode(n), ScopeStore, scopeOfStop(n))
 }
 
+// pathHolds reports whether the time bounds apply, between two times, to the nodes that a request
+// passes: one that is cut off forwards it to another, which sends it to an endpoint.
+func (c *Checker) pathHolds(r *requestState, from, to time.Time) bool {
+	return c.boundsHold(r.Node, from, to) && (r.sender == unknownSender || r.sender == r.Node || c.boundsHold(r.sender, from, to))
+}
+
 // scopeOfStop returns the scope of the planned stop of a node. The time bounds
 // don't apply during it, but no request may be lost.
 func scopeOfStop(n int) Scope { return Scope(fmt.Sprint("stop ", n)) }
@@ -219,7 +226,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.Totals.Sent++
-	c.states[r.ID] = &requestState{Request: r}
+	c.states[r.ID] = &requestState{Request: r, sender: unknownSender}
 	route := c.routes[r.Route]
 	if !route.Idempotent {
 		c.onceRuns[r.ID] = 0
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -127,10 +128,29 @@
 	late := func(id string) []step { return []step{served(1, id, "browse", here), answered(4, id, good)} }
 	cold := func(c *soak.Checker) { c.SetCold("e1", at(3)) }
 	limited := func(since float64) step { return func(c *soak.Checker) { c.SetLimited("e1", at(since)) } }
+	cutOff := func(failed, servedElsewhere int) step {
+		return func(c *soak.Checker) {
+			for i := range failed {
+				id := fmt.Sprint("cut", i)
+				sent(14, id, "browse")(c)
+				answered(14.1, id, refused)(c)
+			}
+			for i := range servedElsewhere {
+				id := fmt.Sprint("other", i)
+				c.RecordSent(soak.Request{ID: id, Route: "browse", Node: 2, Incarnation: 1, Sent: at(14), Timeout: 2 * time.Second})
+				answered(14.1, id, good)(c)
+			}
+			c.CheckCutOff(at(20), []int{1}, at(10), at(16))
+		}
+	}
 	cases := map[string]struct {
 		steps     []step
 		guarantee string // "": no violation
 	}{
+		"cut-off node serves none":      {[]step{cutOff(20, 20)}, "cutoff"},
+		"cut-off node serves few less":  {[]step{cutOff(10, 20)}, ""},
+		"nobody serves":                 {[]step{cutOff(20, 0)}, ""},
+		"a frozen node that is cut off": {[]step{faulted(node1, 12, 13), cutOff(20, 20)}, ""},
 		"an answered request":           {[]step{served(1, "a", "browse", here), answered(1.1, "a", good)}, ""},
 		"run-once request runs twice":   {[]step{served(1, "a", "book", elsewhere), ran(1.2, "a", here)}, "twice"},
 		"idempotent request runs twice": {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere)}, ""},
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -68,7 +68,7 @@
 // pathUndisturbed reports whether no fault affected the path of a request, from a
 // confirmation to its arrival at an endpoint.
 func (c *Checker) pathUndisturbed(r *requestState, since, now time.Time, e EndpointInfo) bool {
-	return c.boundsHold(r.Node, since, now) && c.undisturbed(r.Sent, now, ScopeOfEndpoint(e.ID))
+	return c.pathHolds(r, since, now) && c.undisturbed(r.Sent, now, ScopeOfEndpoint(e.ID))
 }
 
 // checkVersion derives the configuration that a node used from the service that ran a
@@ -85,7 +85,7 @@
 			first = i
 		}
 	}
-	if last < 0 || !c.boundsHold(r.Node, r.Sent, now) {
+	if last < 0 || !c.pathHolds(r, r.Sent, now) {
 		return
 	}
 	used := slices.IndexFunc(c.versions[first:last+1], func(v version) bool { return v.service == e.Service })
--- /dev/null
+++ b/soak/cutoff.go
@@ -0,0 +1,101 @@
+package soak
+
+// Nodes that are cut off from all endpoints for a while, and the check that their callers are served
+// nearly as often as those of the others.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+)
+
+const (
+	cutStream   = 3               // of random numbers
+	cutsInRun   = 2               // cuts of a run, of which each has another kind
+	minCutTime  = 5 * time.Second // longer than the recovery bound
+	cutTimeSpan = 3 * time.Second // of a random addition
+	// The bound of the check: the share of the requests of cut-off nodes that have to be served, as
+	// a part of that of the others, and the failures that are allowed nevertheless.
+	cutServedShare   = 2.0 / 3
+	cutFailures      = 10
+	cutFailuresShare = 1.0 / 50 // of all requests
+)
+
+// cutNodesOff cuts a random share of the nodes off from the endpoints, a few times in a run. The
+// faults of the plan go on meanwhile.
+func (h *harness) cutNodesOff(ctx context.Context, run time.Duration) {
+	random := rand.New(rand.NewPCG(h.seed, cutStream))
+	cuts := []Cut{CutHang, CutReset, CutRefuse}
+	random.Shuffle(len(cuts), func(i, j int) { cuts[i], cuts[j] = cuts[j], cuts[i] })
+	for _, cut := range cuts[:cutsInRun] {
+		if !sleep(ctx, run/8+time.Duration(random.Int64N(int64(run/8+1)))) {
+			return
+		}
+		nodes := random.Perm(len(h.processes))[:1+random.IntN(len(h.processes))]
+		h.cutOff(ctx, cut, nodes, minCutTime+time.Duration(random.Int64N(int64(cutTimeSpan))))
+	}
+}
+
+// cutOff cuts nodes off for a time, and checks afterwards what their callers got.
+func (h *harness) cutOff(ctx context.Context, cut Cut, nodes []int, d time.Duration) {
+	_, _ = fmt.Fprintf(h.events, "%7.3f nodes %v cut off from all endpoints (%s) for %s\n", time.Since(h.checker.began).Seconds(), nodes, cut, d.Round(time.Millisecond)) // informative
+	from := time.Now()
+	h.setCut(cut, nodes)
+	sleep(ctx, d)
+	to := time.Now()
+	h.setCut(CutNone, nodes)
+	if sleep(ctx, routeTimeout+lateBound) { // until the requests have ended
+		h.checker.CheckCutOff(time.Now(), nodes, from, to)
+	}
+}
+
+func (h *harness) setCut(cut Cut, nodes []int) {
+	for _, n := range nodes {
+		if err := os.WriteFile(h.processes[n].linksFile, []byte(cut), 0o600); err != nil {
+			h.checker.RecordViolation(time.Now(), "start", err.Error())
+		}
+	}
+}
+
+// servedCount counts requests, and those of them that were served.
+type servedCount struct{ sent, served int }
+
+func (s *servedCount) add(r *requestState) {
+	s.sent++
+	if r.served {
+		s.served++
+	}
+}
+
+func (s servedCount) share() float64 { return float64(s.served) / float64(max(1, s.sent)) }
+
+// CheckCutOff checks that the requests to nodes that were cut off between two times were served
+// nearly as often as those to other nodes. Nodes with other faults don't count; faults of the store
+// do, which affects all alike.
+func (c *Checker) CheckCutOff(now time.Time, nodes []int, from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isCut := map[int]bool{}
+	for _, n := range nodes {
+		isCut[n] = true
+	}
+	var cut, others servedCount
+	from = from.Add(c.bounds.Recovery.Duration)
+	for _, r := range c.states {
+		if r.Sent.Before(from) || !r.Sent.Before(to) || r.ended.IsZero() || !c.undisturbed(from, r.ended, ScopeOfNode(r.Node), scopeOfStop(r.Node)) {
+			continue
+		}
+		if isCut[r.Node] {
+			cut.add(r)
+		} else {
+			others.add(r)
+		}
+	}
+	failed := float64(cut.sent - cut.served)
+	allowed := cutFailures + cutFailuresShare*float64(cut.sent+others.sent)
+	if cut.sent > 0 && others.sent > 0 && cut.share() < cutServedShare*others.share() && failed > allowed {
+		c.addViolation(now, "cutoff", "nodes %v, cut off from all endpoints since %s, served %d of %d requests, the others %d of %d", nodes, from.Sub(c.began), cut.served, cut.sent, others.served, others.sent)
+	}
+}
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -44,11 +44,12 @@
 	outage  sync.Mutex  // held from a crash or leave until the restart
 }
 
-func newTestEndpoint(e inventory.Endpoint, listenAddress string, store *platform.Client, checker *Checker) *testEndpoint {
+func newTestEndpoint(e inventory.Endpoint, listenAddress string, store *platform.Client, checker *Checker, senderOf func(address string) int) *testEndpoint {
 	t := &testEndpoint{checker: checker}
 	t.Endpoint.Endpoint, t.ListenAddress, t.HeaderNames, t.Store = e, listenAddress, caller.Headers, store
 	info := EndpointInfo{ID: e.ID, Domain: e.Domain, Service: e.Service}
 	t.OnArrival = func(id string) { checker.RecordArrival(time.Now(), id, info) }
+	t.OnSender = func(id, address string) { checker.RecordSender(time.Now(), id, info, senderOf(address)) }
 	t.OnRun = func(id string) { checker.RecordRun(time.Now(), id, info) }
 	return t
 }
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -65,7 +65,7 @@
 func (c *Checker) checkLimit(now time.Time, r *requestState, e EndpointInfo) {
 	since := c.limitedSince[e.ID]
 	from := now.Add(-permit.Window)
-	if since.IsZero() || from.Before(since.Add(limitToldIn)) || !c.boundsHold(r.Node, from, now) || !c.undisturbed(from, now, ScopeOfEndpoint(e.ID)) {
+	if since.IsZero() || from.Before(since.Add(limitToldIn)) || !c.pathHolds(r, from, now) || !c.undisturbed(from, now, ScopeOfEndpoint(e.ID)) {
 		return
 	}
 	recent := append(timesFrom(c.limitArrivals[e.ID], from), now)
--- a/soak/process.go
+++ b/soak/process.go
@@ -25,12 +25,18 @@
 	maxLogLine    = 1 << 20                // bytes of a log line
 )
 
+// CommandNode is the command of the program that runs a node whose links to the endpoints can be cut.
+const CommandNode = "soak-node"
+
 // process is a node process with its settings, its program, and the proxies in front
 // of its addresses.
 type process struct {
 	standin.Program
 	index        int
 	settingsFile string // path of the settings
+	linksFile    string // path of the cut of its links to endpoints
+	endpoints    string // prefix of the addresses of endpoints
+	source       string // IP address from which it connects to them
 	checker      *Checker
 	log          io.Writer
 
@@ -43,7 +49,7 @@
 // start starts the process.
 func (p *process) start(binary string) error {
 	out, lines := io.Pipe()
-	p.Path, p.Args = binary, []string{"node", "--settings", p.settingsFile}
+	p.Path, p.Args = binary, []string{CommandNode, "--settings", p.settingsFile, "--links", p.linksFile, "--endpoints", p.endpoints, "--source", p.source}
 	p.Stdout, p.Stderr, p.RestartDelay = lines, &stderrMonitor{p: p}, restartDelay
 	p.Started = func() { p.checker.SetRunning(time.Now(), p.index, true) }
 	p.Ended = func(state *os.ProcessState, stopRequested bool) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 //     the failure of nodes in time;
 //   - requests are lost only by faults, and a planned stop is not a fault;
 //   - after all faults have ended, requests are served again;
+//   - callers of nodes that are cut off from all endpoints are served nearly like others;
 //   - no process exits by itself, exceeds its memory limit or logs a violated invariant.
 //
 // Processes are stopped, frozen, killed and reloaded by signals. Connections go through
@@ -28,6 +29,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -132,6 +134,7 @@
 		func(ctx context.Context) { h.generateLoad(ctx, requestRate) }, h.checkLookups, h.watchStalls, h.watchProcesses,
 		func(ctx context.Context) { h.nameLimits(ctx, duration) },
 		func(ctx context.Context) { h.restoreStore(ctx, duration) },
+		func(ctx context.Context) { h.cutNodesOff(ctx, duration) },
 	} {
 		running.Go(func() { task(ctx) })
 	}
@@ -218,6 +221,7 @@
 	hostEndpoint
 	hostEndpointListen
 	hostStoreSource
+	hostNodeSource
 )
 
 const (
@@ -288,12 +292,13 @@
 	client := platform.New(platform.Options{Address: h.storeAddress(), CallsPerSecond: callRate})
 	warmup := h.inventory.Services[0].Warmup.Duration
 	for i, e := range h.inventory.Endpoints {
-		t := newTestEndpoint(e, h.address(hostEndpointListen, i, portEndpoint), client, h.checker)
+		t := newTestEndpoint(e, h.address(hostEndpointListen, i, portEndpoint), client, h.checker, h.senderOf)
 		t.warmup = warmup
 		var err error
 		if t.proxy, err = h.proxy(e.Address, t.ListenAddress, ""); err != nil {
 			return err
 		}
+		t.proxy.KeepSource()
 		if err := t.start(false); err != nil {
 			return err
 		}
@@ -322,7 +327,8 @@
 		for k := range s.Seeds {
 			s.Seeds[k] = h.address(hostPeer, k, portPeer)
 		}
-		p := &process{index: i, settingsFile: filepath.Join(h.dir, string(e.ID)+".toml"), checker: h.checker, settings: s}
+		p := &process{index: i, settingsFile: filepath.Join(h.dir, string(e.ID)+".toml"), linksFile: filepath.Join(h.dir, string(e.ID)+".links"),
+			endpoints: h.subnet + strconv.Itoa(hostEndpoint) + ".", source: h.ip(hostNodeSource, i), checker: h.checker, settings: s}
 		var err error
 		for _, l := range []struct {
 			to                    **standin.Proxy
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -28,6 +28,7 @@
 	Listen        func(network, address string) (net.Listener, error) // nil: net.Listen
 	OnArrival     func(id string)                                     // called for each request addressed to it; may be nil
 	OnRun         func(id string)                                     // called for each request that starts to run; may be nil
+	OnSender      func(id, address string)                            // called before OnArrival with the address that sent it; may be nil
 	OnLeaving     func(id string)                                     // called for each response that says that it leaves; may be nil
 	OnPause       func(id string)                                     // called for each rejection that asks for a pause; may be nil
 	OnCrash       func()                                              // called after a request has crashed the endpoint; may be nil
@@ -56,7 +57,7 @@
 	defer e.mu.Unlock()
 	e.target = NewTarget(string(e.ID), e.HeaderNames, b)
 	e.target.OnArrival, e.target.OnRun, e.target.OnCrash = e.OnArrival, e.OnRun, e.Crash
-	e.target.OnLeaving, e.target.OnPause = e.OnLeaving, e.OnPause
+	e.target.OnSender, e.target.OnLeaving, e.target.OnPause = e.OnSender, e.OnLeaving, e.OnPause
 	server := &http.Server{Handler: e.target, ReadHeaderTimeout: headerTimeout}
 	e.server, e.stopHeartbeats = server, func() {}
 	go func() { _ = server.Serve(l) }() // returns after End
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -29,6 +29,7 @@
 	listener net.Listener
 	dialer   net.Dialer
 	server   string
+	keeps    bool // the source addresses of connections
 
 	mu      sync.Mutex
 	fault   LinkFault
@@ -59,6 +60,10 @@
 	return p, nil
 }
 
+// KeepSource lets the server see the IP addresses of the clients, on loopback. It is called before the
+// first connection.
+func (p *Proxy) KeepSource() { p.keeps = true }
+
 func (p *Proxy) serve() {
 	for {
 		client, err := p.listener.Accept()
@@ -111,7 +116,11 @@
 }
 
 func (p *Proxy) forward(client net.Conn) {
-	server, err := p.dialer.Dial("tcp", p.server)
+	dialer := p.dialer
+	if address, ok := client.RemoteAddr().(*net.TCPAddr); ok && p.keeps {
+		dialer.LocalAddr = &net.TCPAddr{IP: address.IP}
+	}
+	server, err := dialer.Dial("tcp", p.server)
 	if err != nil {
 		(&proxyConn{client: client, server: client}).reset() // as for a port without a listener
 		return
--- a/standin/target.go
+++ b/standin/target.go
@@ -76,6 +76,9 @@
 	// leaves, OnPause with that of each rejection that asks for a pause. They are set like the
 	// others, and may be nil.
 	OnLeaving, OnPause func(id string)
+	// OnSender is called before OnArrival with the address that sent the request. It is set like the
+	// others, and may be nil.
+	OnSender func(id, address string)
 	// OnCrash ends the process of the target. It is set like the others, and may be nil.
 	OnCrash func()
 
@@ -90,6 +93,7 @@
 	working       int
 	warm          []string // objects, the most recently used first
 	announceClose bool
+	leaving       bool
 }
 
 // NewTarget returns a target that identifies itself by a name. The name also seeds its
@@ -121,6 +125,23 @@
 	t.announceClose = announce
 }
 
+// SetLeaving sets whether each answer says that the target leaves, whatever its behaviour says.
+func (t *Target) SetLeaving(leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = leaving
+}
+
+// leavingText returns what a response says of whether the target leaves; "": nothing.
+func (t *Target) leavingText(b Behaviour) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving {
+		return "1"
+	}
+	return b.Leaving
+}
+
 // Stats returns a copy of the statistics.
 func (t *Target) Stats() TargetStats {
 	t.mu.Lock()
@@ -163,6 +184,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if t.OnSender != nil {
+		t.OnSender(id, r.RemoteAddr)
+	}
 	if t.OnArrival != nil {
 		t.OnArrival(id)
 	}
@@ -363,8 +387,8 @@
 // writeState adds to an answer what the target says of itself: whether it leaves, its limit and
 // its load.
 func (t *Target) writeState(w http.ResponseWriter, id string, b Behaviour) {
-	if b.Leaving != "" {
-		w.Header().Set(t.headerNames.Leaving, b.Leaving)
+	if text := t.leavingText(b); text != "" {
+		w.Header().Set(t.headerNames.Leaving, text)
 		if t.OnLeaving != nil {
 			t.OnLeaving(id)
 		}
@@ -429,6 +453,9 @@
 // bytes.
 func (t *Target) answerRaw(w http.ResponseWriter, b Behaviour, id string, data []byte) {
 	head := "HTTP/1.1 200 OK\r\n" + t.headerNames.Request + ": " + id + "\r\n" + t.headerNames.Signature + ": " + t.name + "." + id + "\r\n"
+	if text := t.leavingText(b); text != "" {
+		head += t.headerNames.Leaving + ": " + text + "\r\n"
+	}
 	if !b.NoLength {
 		head += "Content-Length: " + strconv.Itoa(len(data)) + "\r\n"
 	}
