soak: endpoints leave by their responses only, and ask for pauses

The checks follow each node that sends: no request that was sent later than the bound after it has been told that the endpoint leaves, and at most two in a pause. Entries that can't be read are written beside, and must change nothing.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -120,6 +120,9 @@
 	coldArrivals  map[inventory.EndpointID][]time.Time
 	limitedSince  map[inventory.EndpointID]time.Time // since when each endpoint names a limit
 	limitArrivals map[inventory.EndpointID][]time.Time
+	toldLeaving   map[link]told
+	pauses        map[link]*pauseAsked
+	incarnations  map[int]int // starts of each node
 	exited        map[int]exitTime
 	deadLookups   int
 	lateAnswers   int
@@ -143,6 +146,7 @@
 		coldUntil: map[inventory.EndpointID]time.Time{}, sent: map[inventory.ServiceID][]time.Time{},
 		arrivals: map[inventory.ServiceID][]arrival{}, coldArrivals: map[inventory.EndpointID][]time.Time{},
 		limitedSince: map[inventory.EndpointID]time.Time{}, limitArrivals: map[inventory.EndpointID][]time.Time{},
+		toldLeaving: map[link]told{}, pauses: map[link]*pauseAsked{}, incarnations: map[int]int{},
 		exited: map[int]exitTime{},
 	}
 	for _, r := range conf.Routes {
@@ -378,6 +382,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if running {
+		c.incarnations[n]++
 		delete(c.exited, n)
 		return
 	}
@@ -412,6 +417,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving[id] = since
+	if since.IsZero() {
+		c.forgetTold(id)
+	}
 }
 
 // SetCold records until when an endpoint is cold.
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -128,6 +128,18 @@
 	late := func(id string) []step { return []step{served(1, id, "browse", here), answered(4, id, good)} }
 	cold := func(c *soak.Checker) { c.SetCold("e1", at(3)) }
 	limited := func(since float64) step { return func(c *soak.Checker) { c.SetLimited("e1", at(since)) } }
+	from := func(t float64, id string, sender int) step {
+		return func(c *soak.Checker) {
+			sent(t, id, "browse")(c)
+			c.RecordSender(at(t), id, here, sender)
+		}
+	}
+	toldLeaving := func(t float64, id string) step {
+		return func(c *soak.Checker) { c.RecordLeavingTold(at(t), id, here) }
+	}
+	toldPause := func(t float64, id string) step {
+		return func(c *soak.Checker) { c.RecordPauseTold(at(t), id, here) }
+	}
 	cutOff := func(failed, servedElsewhere int) step {
 		return func(c *soak.Checker) {
 			for i := range failed {
@@ -147,17 +159,25 @@
 		steps     []step
 		guarantee string // "": no violation
 	}{
-		"cut-off node serves none":      {[]step{cutOff(20, 20)}, "cutoff"},
-		"cut-off node serves few less":  {[]step{cutOff(10, 20)}, ""},
-		"nobody serves":                 {[]step{cutOff(20, 0)}, ""},
-		"a frozen node that is cut off": {[]step{faulted(node1, 12, 13), cutOff(20, 20)}, ""},
-		"an answered request":           {[]step{served(1, "a", "browse", here), answered(1.1, "a", good)}, ""},
-		"run-once request runs twice":   {[]step{served(1, "a", "book", elsewhere), ran(1.2, "a", here)}, "twice"},
-		"idempotent request runs twice": {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere)}, ""},
-		"three attempts":                {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere), ran(1.3, "a", here)}, "attempts"},
-		"refused after it ran":          {[]step{served(1, "a", "book", elsewhere), answered(1.1, "a", refused)}, "refused"},
-		"runs after it was refused":     {[]step{sent(1, "a", "book"), answered(1.1, "a", refused), ran(1.5, "a", elsewhere)}, "refused"},
-		"request of no caller":          {[]step{func(c *soak.Checker) { c.RecordArrival(at(1), "a", here) }}, "unasked"},
+		"told that it leaves":            {[]step{from(1, "a", 1), toldLeaving(1, "a"), from(3.1, "b", 1)}, "told"},
+		"told a moment ago":              {[]step{from(1, "a", 1), toldLeaving(1, "a"), from(2.9, "b", 1)}, ""},
+		"another node was told":          {[]step{from(1, "a", 1), toldLeaving(1, "a"), from(3.1, "b", 2)}, ""},
+		"told before the node restarted": {[]step{from(1, "a", 2), toldLeaving(1, "a"), running(1.5, false), running(2, true), from(4, "b", 2)}, ""},
+		"told by a former start":         {[]step{from(1, "a", 1), toldLeaving(1, "a"), func(c *soak.Checker) { c.SetLeaving("e1", time.Time{}) }, from(4, "b", 1)}, ""},
+		"two in a pause":                 {[]step{from(1, "a", 1), toldPause(1, "a"), from(2, "b", 1), from(3, "c", 1)}, ""},
+		"three in a pause":               {[]step{from(1, "a", 1), toldPause(1, "a"), from(2, "b", 1), from(3, "c", 1), from(3.4, "d", 1)}, "pause"},
+		"three around a pause":           {[]step{from(1, "a", 1), toldPause(1, "a"), from(1.4, "b", 1), from(3, "c", 1), from(3.6, "d", 1), from(3.7, "e", 1)}, ""},
+		"cut-off node serves none":       {[]step{cutOff(20, 20)}, "cutoff"},
+		"cut-off node serves few less":   {[]step{cutOff(10, 20)}, ""},
+		"nobody serves":                  {[]step{cutOff(20, 0)}, ""},
+		"a frozen node that is cut off":  {[]step{faulted(node1, 12, 13), cutOff(20, 20)}, ""},
+		"an answered request":            {[]step{served(1, "a", "browse", here), answered(1.1, "a", good)}, ""},
+		"run-once request runs twice":    {[]step{served(1, "a", "book", elsewhere), ran(1.2, "a", here)}, "twice"},
+		"idempotent request runs twice":  {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere)}, ""},
+		"three attempts":                 {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere), ran(1.3, "a", here)}, "attempts"},
+		"refused after it ran":           {[]step{served(1, "a", "book", elsewhere), answered(1.1, "a", refused)}, "refused"},
+		"runs after it was refused":      {[]step{sent(1, "a", "book"), answered(1.1, "a", refused), ran(1.5, "a", elsewhere)}, "refused"},
+		"request of no caller":           {[]step{func(c *soak.Checker) { c.RecordArrival(at(1), "a", here) }}, "unasked"},
 
 		"lost at an undisturbed node":   {[]step{served(1, "a", "browse", here), unanswered(1.1, "a", eof, false)}, "lost"},
 		"sent as its connection closes": {[]step{sent(1, "a", "browse"), unanswered(1.1, "a", eof, false)}, ""},
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -50,6 +50,8 @@
 	info := EndpointInfo{ID: e.ID, Domain: e.Domain, Service: e.Service}
 	t.OnArrival = func(id string) { checker.RecordArrival(time.Now(), id, info) }
 	t.OnSender = func(id, address string) { checker.RecordSender(time.Now(), id, info, senderOf(address)) }
+	t.OnLeaving = func(id string) { checker.RecordLeavingTold(time.Now(), id, info) }
+	t.OnPause = func(id string) { checker.RecordPauseTold(time.Now(), id, info) }
 	t.OnRun = func(id string) { checker.RecordRun(time.Now(), id, info) }
 	return t
 }
@@ -114,6 +116,7 @@
 		announce = t.Remove
 		t.silent.Store(true)
 	}
+	t.Target().SetLeaving(true)
 	if err := announce(ctx); err == nil { // after an error the store may not have the change, so no bound applies
 		t.checker.SetLeaving(t.ID, time.Now())
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,8 @@
 //     the failure of nodes in time;
 //   - requests are lost only by faults, and a planned stop is not a fault;
 //   - after all faults have ended, requests are served again;
+//   - an endpoint that has told a node that it leaves gets no later requests from it, and one
+//     that has asked it for a pause gets none in the pause;
 //   - callers of nodes that are cut off from all endpoints are served nearly like others;
 //   - no process exits by itself, exceeds its memory limit or logs a violated invariant.
 //
@@ -135,6 +137,9 @@
 		func(ctx context.Context) { h.nameLimits(ctx, duration) },
 		func(ctx context.Context) { h.restoreStore(ctx, duration) },
 		func(ctx context.Context) { h.cutNodesOff(ctx, duration) },
+		func(ctx context.Context) { h.askForPauses(ctx, duration) },
+		func(ctx context.Context) { h.leaveUnregistered(ctx, duration) },
+		func(ctx context.Context) { h.writeOddEntries(ctx, duration) },
 	} {
 		running.Go(func() { task(ctx) })
 	}
