endpoint: an entry takes back that its endpoint leaves after two seconds only

A write of an endpoint's entry from before it drained may take effect late, so the entry may say ready once more until the next heartbeat. That ended what the endpoint had said itself, and requests would have come back for a moment. Found by reading. The entry now has to say ready for longer than that, and a response that says so again after it counts anew (TestWhatShowsThatAnEndpointLeaves, three new cases).

--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -4,8 +4,8 @@
 // its entry may say so later, or never. Both are sources of one state: an endpoint gets no new
 // requests as soon as either says that it leaves. Requests that run or wait there are completed.
 //
-// What ends it is a new start, an entry that says ready after it said draining, or a response that
-// no longer says so to a request that was sent after the last one that did. An entry that has said
+// What ends it is a new start, an entry that has said ready for a while after it said draining, or a
+// response that no longer says so to a request that was sent after the last one that did. An entry that has said
 // ready all along proves nothing: the store, or the copy of it, may be behind.
 
 import "time"
@@ -14,6 +14,9 @@
 	// maxLeaving is how long an endpoint may take to end. One that is still registered as ready
 	// then is used again if its service has no other: either of its statements is wrong.
 	maxLeaving = time.Minute
+	// takeBackTime is how long an entry has to say ready after it said draining: a write from before
+	// may take effect late, and the endpoint's next heartbeat corrects it.
+	takeBackTime = 2 * time.Second
 	// maxLeavingTold bounds the statements in a message, less than 25 bytes each.
 	maxLeavingTold = 64
 	// maxLeavingAge is the age of a statement beyond which it is of no use to others.
@@ -34,9 +37,10 @@
 
 // knownLeaving is whether an endpoint leaves, as far as a node knows by its responses.
 type knownLeaving struct {
-	said  bool
-	since time.Time // when it first said so
-	at    time.Time // when it last said otherwise than before; zero: it never did
+	said      bool
+	since     time.Time // when it first said so
+	at        time.Time // when it last said otherwise than before; zero: it never did
+	takenBack time.Time // when its entry said ready after it had said draining; zero: it does not
 }
 
 // duration returns for how long the endpoint has said that it leaves, 0 if it does not.
@@ -53,10 +57,23 @@
 	return s.leaving.duration(now) > maxLeaving && s.missingSince.IsZero() && t.storeSettled(now)
 }
 
+// isTakenBack reports whether the endpoint's entry has taken its leaving back.
+func (k knownLeaving) isTakenBack(now time.Time) bool {
+	return !k.takenBack.IsZero() && now.Sub(k.takenBack) >= takeBackTime
+}
+
+// recordEntry records that the endpoint's entry now says draining, or ready after that.
+func (k *knownLeaving) recordEntry(now time.Time, draining bool) {
+	k.takenBack = now
+	if draining {
+		k.takenBack = time.Time{}
+	}
+}
+
 // leaves reports whether an endpoint gets no requests because it leaves. lastResort admits those
 // whose statement their entry contradicts.
 func (t *Table) leaves(now time.Time, s *endpointState, lastResort bool) bool {
-	return s.leaving.said && !(lastResort && t.isContradicted(now, s))
+	return s.leaving.said && !s.leaving.isTakenBack(now) && !(lastResort && t.isContradicted(now, s))
 }
 
 // RecordLeaving records whether the response to a request that was sent at a time says that its
@@ -68,6 +85,9 @@
 	if t.byID[s.ID] != s || !said && !sent.After(s.leaving.at) {
 		return false
 	}
+	if said && !s.leaving.takenBack.IsZero() && sent.After(s.leaving.takenBack) {
+		s.leaving = knownLeaving{} // it leaves again
+	}
 	return t.setLeaving(s, now, said)
 }
 
--- a/endpoint/leaving_test.go
+++ b/endpoint/leaving_test.go
@@ -34,9 +34,24 @@
 			registered(table, at(2), c, func(e *inventory.Endpoint) { e.Address = "10.9.9.9:80" })
 		}, false},
 		"its drain was taken back": {func(table *Table, c Choice) {
+			registered(table, at(1.5), c, func(e *inventory.Endpoint) { e.Draining = true })
+			registered(table, at(2), c, func(*inventory.Endpoint) {})
+		}, false},
+		"its drain was taken back a moment ago": {func(table *Table, c Choice) {
 			registered(table, at(2), c, func(e *inventory.Endpoint) { e.Draining = true })
 			registered(table, at(3), c, func(*inventory.Endpoint) {})
-		}, false},
+		}, true},
+		"an older write of its entry took effect late": {func(table *Table, c Choice) {
+			registered(table, at(1.2), c, func(e *inventory.Endpoint) { e.Draining = true })
+			registered(table, at(1.5), c, func(*inventory.Endpoint) {})
+			registered(table, at(3), c, func(e *inventory.Endpoint) { e.Draining = true })
+			registered(table, at(3.5), c, func(*inventory.Endpoint) {})
+		}, true},
+		"its drain was taken back, and it leaves again": {func(table *Table, c Choice) {
+			registered(table, at(1.2), c, func(e *inventory.Endpoint) { e.Draining = true })
+			registered(table, at(1.5), c, func(*inventory.Endpoint) {})
+			table.RecordLeaving(at(2), at(1.9), c, true)
+		}, true},
 		"its entry was removed and is back": {func(table *Table, c Choice) {
 			table.Removed(at(2), c.Endpoint.ID)
 			registered(table, at(3), c, func(*inventory.Endpoint) {})
--- a/endpoint/statement.go
+++ b/endpoint/statement.go
@@ -106,7 +106,7 @@
 }
 
 func (s *statements) age(by time.Duration) {
-	for _, at := range []*time.Time{&s.limit.at, &s.leaving.since, &s.leaving.at, &s.pause.until} {
+	for _, at := range []*time.Time{&s.limit.at, &s.leaving.since, &s.leaving.at, &s.leaving.takenBack, &s.pause.until} {
 		if !at.IsZero() {
 			*at = at.Add(-by)
 		}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -148,8 +148,8 @@
 		s.warmup.extend(now, e.ColdRemaining)
 		return true
 	}
-	if s.Draining && !e.Draining {
-		t.setLeaving(s, now, false)
+	if s.Draining != e.Draining {
+		s.leaving.recordEntry(now, e.Draining)
 	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
 	s.Endpoint = e
--- a/node/steer.go
+++ b/node/steer.go
@@ -242,7 +242,7 @@
 	if err != nil && !errors.As(err, &failed) {
 		failed = &exchange.Error{Op: "exchange", Kind: exchange.KindBroken, Err: err}
 	}
-	if failed != nil && errors.Is(context.Cause(ctx), errCutOff) {
+	if failed != nil && failed.Kind == exchange.KindCanceled && errors.Is(context.Cause(ctx), errCutOff) {
 		failed.Kind = exchange.KindAbandoned
 	}
 	n.recordReach(now, c, endpointResponse, failed)
