--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -32,6 +32,14 @@
 			id := h.serviceTargets("s")[0].endpoint.ID
 			h.platform.Expire("servers", string(id))
 		}},
+		"a node is cut off from the store and the other nodes": {during: func(h *harness, _ *witness) {
+			ip := hostOf(h.entry("n2").Peer)
+			h.cutFromStore([]string{ip}, true)
+			for _, e := range h.inv.Entries {
+				h.network.Cut(standin.Path{From: ip, To: hostOf(e.Peer)})
+				h.network.Cut(standin.Path{From: hostOf(e.Peer), To: ip})
+			}
+		}},
 		"a node restarts": {during: func(h *harness, w *witness) {
 			h.kill("n2")
 			w.forget("n2")
