soak: endpoints of an undrained domain count as cold from when the store removed the drain

The check was wrong: the answer to the removal of a drain was lost, the operator's retry succeeded 1.4 s later, and the soak counted the warm-up from there. Nodes had it from the removal, as the trace shows, and kept to the bound for the whole warm-up. The check stays as strict from the time of the removal itself.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -203,7 +203,11 @@
 	for ctx.Err() == nil && h.operator.Undrain(ctx, d) != nil {
 		time.Sleep(rollInterval)
 	}
-	until := time.Now().Add(h.endpoints[0].warmup)
+	since := h.platform.RemovedAt(string(platform.Drains), string(d)) // the answer may have been lost
+	if since.IsZero() {
+		since = time.Now()
+	}
+	until := since.Add(h.endpoints[0].warmup)
 	for _, endpoint := range h.endpoints {
 		if endpoint.Domain == d {
 			endpoint.checker.SetCold(endpoint.ID, until)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -240,6 +240,18 @@
 	}
 }
 
+// RemovedAt returns when an object was last removed, or the zero time if the store has forgotten.
+func (p *Platform) RemovedAt(kind, name string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.store.history) - 1; i >= 0; i-- {
+		if e := p.store.history[i]; e.kind == kind && e.Object.Metadata.Name == name && e.Tombstone {
+			return e.at
+		}
+	}
+	return time.Time{}
+}
+
 // Corrupt replaces an object by a text that another writer left there, also one that is no JSON.
 // {name} and {revision} in it stand for the object's own.
 func (p *Platform) Corrupt(kind, name, text string) {
