--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -69,7 +69,12 @@
 		"requests that may run once":    {kind: cutHang, nodes: all[:1], path: "/post/x"},
 		"while the store is away":       {kind: cutHang, nodes: all[:2], during: func(h *harness) { h.platform.SetFault(standin.Fault{Silent: true}) }},
 		"while another node is stopped": {kind: cutHang, nodes: all[:1], during: func(h *harness) { stopped := h.nodes["n2"]; delete(h.nodes, "n2"); stopped.stop() }},
-		"while another node is killed":  {kind: cutReset, nodes: all[:1], during: func(h *harness) { h.kill("n3") }},
+		"while another node does not answer": {kind: cutHang, nodes: all[:1], during: func(h *harness) {
+			one, other := hostOf(h.entry("n1").Peer), hostOf(h.entry("n2").Peer)
+			h.network.Cut(standin.Path{From: one, To: other})
+			h.network.Cut(standin.Path{From: other, To: one})
+		}},
+		"while another node is killed": {kind: cutReset, nodes: all[:1], during: func(h *harness) { h.kill("n3") }},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/node/forward.go
+++ b/node/forward.go
@@ -25,8 +25,11 @@
 	// headerForward marks a request of another node: its id, the endpoints at which the request may
 	// have arrived, and whether it was counted in the retry budget.
 	headerForward = "Wasabiwheel-Forward"
-	// maxForwarders is the number of nodes that are asked to serve a request.
-	maxForwarders = 3
+	// maxForwarders is the number of nodes that are asked to serve a request. One that is cut off says
+	// so at once.
+	maxForwarders = 8
+	// maxForwardShare is the share of a request's time in which another node is asked.
+	maxForwardShare = 0.25
 	// maxUnreached is the number of endpoints that can't be reached from which a request is forwarded.
 	maxUnreached     = 2
 	maxForwardConns  = 64                     // connections to one node for forwarded requests
@@ -113,9 +116,11 @@
 // forward lets another node serve a request. ok is false if none can be asked.
 func (n *Node) forward(ctx context.Context, req *request) (resp response, ok bool) {
 	var tried []inventory.EntryID
+	began := time.Now()
+	until := began.Add(time.Duration(maxForwardShare * float64(req.remaining(began))))
 	for range maxForwarders {
 		now := time.Now()
-		if req.remaining(now) <= 0 || isCanceled(ctx) {
+		if !now.Before(until) || isCanceled(ctx) {
 			return resp, ok
 		}
 		to, found := n.forwarders.Choose(now, reach.Query{Service: req.service, Homes: req.route.HomeRegions, Tried: tried})
@@ -127,7 +132,7 @@
 		n.forwarders.Done(time.Now(), to, req.service, help)
 		n.metrics.increment("forward." + string(help))
 		resp, ok = mergeResponses(resp, next), true
-		if help == reach.Helped || !n.mayRetry(req, resp) {
+		if help == reach.Helped || help == reach.Silent || !n.mayRetry(req, resp) {
 			return resp, ok
 		}
 		if next.outcome == caller.OutcomeUnknown && !n.retries.AllowRetry(time.Now(), req.service) {
@@ -175,11 +180,11 @@
 func forwardResult(req *request, resp exchange.Response, failed *exchange.Error) (response, reach.Help) {
 	switch {
 	case failed != nil && failed.Kind == exchange.KindCanceled:
-		return response{outcome: caller.OutcomeCanceled, reason: caller.Reason(failed.Kind)}, reach.Helped
+		return response{outcome: caller.OutcomeCanceled, reason: caller.Reason(failed.Kind)}, reach.Silent
 	case failed != nil && exchange.NotRun(failed):
 		return cutOffResponse(req), reach.Unavail
 	case failed != nil && failed.Kind == exchange.KindTimeout:
-		return unknown(failed.Kind), reach.Helped
+		return unknown(failed.Kind), reach.Silent
 	case failed != nil:
 		return unknown(failed.Kind), reach.Unavail
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -332,6 +332,9 @@
 	n.relay.RecordHeartbeat(now, m.Beat.Entry, m.Hops, m.Positions)
 	n.endpoints.StoreReachedElsewhere(now, m.Beat.StoreReachedFor)
 	if n.members.RecordHeartbeat(now, m.Beat) {
+		if m.Beat.Ready && !m.Beat.CutOff {
+			n.forwarders.Readmit(m.Beat.Entry)
+		}
 		klog.InfoS("neighbour", "entry", m.Beat.Entry, "ready", m.Beat.Ready, "version", m.Beat.Version)
 	}
 }
--- a/soak/cutoff.go
+++ b/soak/cutoff.go
@@ -47,7 +47,7 @@
 	to := time.Now()
 	h.setCut(CutNone, nodes)
 	if sleep(ctx, routeTimeout+lateBound) { // until the requests have ended
-		h.checker.CheckCutOff(time.Now(), nodes, from, to)
+		h.checker.CheckCutOff(time.Now(), nodes, len(h.processes), from, to)
 	}
 }
 
@@ -71,10 +71,26 @@
 
 func (s servedCount) share() float64 { return float64(s.served) / float64(max(1, s.sent)) }
 
+// nodeHolds reports whether a node had no fault from the recovery bound before a request to its end.
+func (c *Checker) nodeHolds(n int, r *requestState) bool {
+	return c.undisturbed(r.Sent, r.ended, ScopeOfNode(n), scopeOfStop(n))
+}
+
+// othersHold reports whether a node that is not cut off had no fault during a request.
+func (c *Checker) othersHold(isCut map[int]bool, count int, r *requestState) bool {
+	for n := range count {
+		if !isCut[n] && c.nodeHolds(n, r) {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckCutOff checks that the requests to nodes that were cut off between two times were served
-// nearly as often as those to other nodes. Nodes with other faults don't count; faults of the store
-// do, which affects all alike.
-func (c *Checker) CheckCutOff(now time.Time, nodes []int, from, to time.Time) {
+// nearly as often as those to other nodes. Nodes with other faults don't count, nor do times at which
+// each of the others has a fault: nobody could serve then. Faults of the store, which affects all
+// alike, do.
+func (c *Checker) CheckCutOff(now time.Time, nodes []int, count int, from, to time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isCut := map[int]bool{}
@@ -84,7 +100,7 @@
 	var cut, others servedCount
 	from = from.Add(c.bounds.Recovery.Duration)
 	for _, r := range c.states {
-		if r.Sent.Before(from) || !r.Sent.Before(to) || r.ended.IsZero() || !c.undisturbed(from, r.ended, ScopeOfNode(r.Node), scopeOfStop(r.Node)) {
+		if r.Sent.Before(from) || !r.Sent.Before(to) || r.ended.IsZero() || !c.nodeHolds(r.Node, r) || !c.othersHold(isCut, count, r) {
 			continue
 		}
 		if isCut[r.Node] {
