--- a/soak/cutoff.go
+++ b/soak/cutoff.go
@@ -62,15 +62,14 @@
 // servedCount counts requests, and those of them that were served.
 type servedCount struct{ sent, served int }
 
-func (s *servedCount) add(r *requestState) {
+func (s servedCount) plus(r *requestState) servedCount {
 	s.sent++
 	if r.served {
 		s.served++
 	}
+	return s
 }
 
-func (s servedCount) share() float64 { return float64(s.served) / float64(max(1, s.sent)) }
-
 // nodeHolds reports whether a node had no fault from the recovery bound before a request to its end.
 func (c *Checker) nodeHolds(n int, r *requestState) bool {
 	return c.undisturbed(r.Sent, r.ended, ScopeOfNode(n), scopeOfStop(n))
@@ -87,9 +86,9 @@
 }
 
 // CheckCutOff checks that the requests to nodes that were cut off between two times were served
-// nearly as often as those to other nodes. Nodes with other faults don't count, nor do times at which
-// each of the others has a fault: nobody could serve then. Faults of the store, which affects all
-// alike, do.
+// nearly as often as those to other nodes in the same seconds: other faults come and go meanwhile.
+// Nodes with faults of their own don't count, nor do times at which each of the others has one:
+// nobody could serve then. Faults of the store, which affects all alike, do.
 func (c *Checker) CheckCutOff(now time.Time, nodes []int, count int, from, to time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -97,21 +96,30 @@
 	for _, n := range nodes {
 		isCut[n] = true
 	}
-	var cut, others servedCount
 	from = from.Add(c.bounds.Recovery.Duration)
+	cut, others := map[int]servedCount{}, map[int]servedCount{}
 	for _, r := range c.states {
 		if r.Sent.Before(from) || !r.Sent.Before(to) || r.ended.IsZero() || !c.nodeHolds(r.Node, r) || !c.othersHold(isCut, count, r) {
 			continue
 		}
+		second := int(r.Sent.Sub(from).Seconds())
 		if isCut[r.Node] {
-			cut.add(r)
+			cut[second] = cut[second].plus(r)
 		} else {
-			others.add(r)
+			others[second] = others[second].plus(r)
+		}
+	}
+	var sum, all servedCount
+	expected := 0.0 // served, if these nodes serve like the others
+	for second, own := range cut {
+		if other := others[second]; other.sent > 0 {
+			sum.sent, sum.served = sum.sent+own.sent, sum.served+own.served
+			all.sent += own.sent + other.sent
+			expected += float64(own.sent) * float64(other.served) / float64(other.sent)
 		}
 	}
-	failed := float64(cut.sent - cut.served)
-	allowed := cutFailures + cutFailuresShare*float64(cut.sent+others.sent)
-	if cut.sent > 0 && others.sent > 0 && cut.share() < cutServedShare*others.share() && failed > allowed {
-		c.addViolation(now, "cutoff", "nodes %v, cut off from all endpoints since %s, served %d of %d requests, the others %d of %d", nodes, from.Sub(c.began), cut.served, cut.sent, others.served, others.sent)
+	failed, allowed := float64(sum.sent-sum.served), cutFailures+cutFailuresShare*float64(all.sent)
+	if float64(sum.served) < cutServedShare*expected && failed > allowed {
+		c.addViolation(now, "cutoff", "nodes %v, cut off from all endpoints since %s, served %d of %d requests; like the others they would have served %.0f", nodes, from.Sub(c.began), sum.served, sum.sent, expected)
 	}
 }
