node: a streamed body is offered to one other node, and never again by this one

Found by reading. A request whose body is too long to be buffered was forwarded; if the other node rejected it after a part had been read, this node could go on and send the rest of the body to an endpoint itself. A body of unknown length would have arrived there as a complete, shorter one. forward now says whether its result is final, which it is once a part of such a body may have been read; only a node that could not be connected to costs nothing.

Headers by which a node states an outcome are no longer passed on from endpoints, since the node that forwarded a request would take them for the other node's own.

--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -157,6 +157,13 @@
 	return t.reports.changed
 }
 
+// WakeSubscribers sends the next message to other nodes now.
+func (t *Table) WakeSubscribers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reports.wake()
+}
+
 // Learn records what another node tells. What is new to this node is passed on. Unknown
 // endpoints are ignored.
 func (t *Table) Learn(now time.Time, g Gossip) {
--- a/member/member.go
+++ b/member/member.go
@@ -54,8 +54,15 @@
 // maxShare bounds the share of a processor in an entry: it weights what a node gets.
 const maxShare = 1024
 
-// Check returns why an entry that was stored under an id can't be used, or nil.
+// Check checks an entry that was stored under an id. It fails with KindMalformed.
 func (e Entry) Check(id inventory.EntryID) error {
+	if err := e.check(id); err != nil {
+		return &Error{Op: "check", Kind: KindMalformed, Entry: id, Err: err}
+	}
+	return nil
+}
+
+func (e Entry) check(id inventory.EntryID) error {
 	if e.ID != id {
 		return errors.Newf("it is of %q", e.ID)
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"math"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -22,8 +21,7 @@
 )
 
 const (
-	// headerForward marks a request of another node: its id, the endpoints at which the request may
-	// have arrived, and whether it was counted in the retry budget.
+	// headerForward marks a request of another node, with the fields of a forwardedRequest.
 	headerForward = "Wasabiwheel-Forward"
 	// maxForwarders is the number of nodes that are asked to serve a request. One that is cut off says
 	// so at once.
@@ -31,13 +29,10 @@
 	// maxForwardShare is the share of a request's time in which another node is asked.
 	maxForwardShare = 0.25
 	// maxUnreached is the number of endpoints that can't be reached from which a request is forwarded.
-	maxUnreached     = 2
-	maxForwardConns  = 64                     // connections to one node for forwarded requests
-	forwardDialTime  = 250 * time.Millisecond // to open one
-	maxForwarded     = 256                    // requests of other nodes in progress: their bodies and responses take memory
-	maxForwardDelay  = 150 * time.Millisecond // of the last tick: a node that is short of processor time serves its own callers
-	forwardSalt      = 0xbb67ae8584caa73b     // any value that the ranking of endpoints does not use
-	forwardPollDelay = 10 * time.Millisecond
+	maxUnreached    = 2
+	maxForwardConns = 64                     // connections to one node for forwarded requests
+	forwardDialTime = 250 * time.Millisecond // to open one
+	forwardSalt     = 0xbb67ae8584caa73b     // any value that the ranking of endpoints does not use
 )
 
 // The reasons of rejections.
@@ -95,6 +90,22 @@
 	return x * 0x94d049bb133111eb
 }
 
+// steerElsewhere lets another node serve a request, since this one reaches no endpoint. It reports
+// false if no node can and kept connections to endpoints may still live.
+func (n *Node) steerElsewhere(ctx context.Context, now time.Time, req *request, last response) (resp response, done bool) {
+	if req.sent > 0 && !n.retries.AllowRetry(now, req.service) {
+		n.metrics.increment("retry.refused")
+		return last, true
+	}
+	if resp, decided := n.forward(ctx, req); decided {
+		return mergeResponses(last, resp), true
+	}
+	if n.reach.IsSilent(now) {
+		return preferPrevious(last, cutOffResponse(req)), true
+	}
+	return response{}, false
+}
+
 // forwardOr forwards a request that this node would reject since it does not reach the endpoints,
 // or returns the rejection.
 func (n *Node) forwardOr(ctx context.Context, req *request, refused response) response {
@@ -106,48 +117,59 @@
 	if refused.outcome != caller.OutcomeNotRun || req.forwarded != nil || req.unhelped {
 		return refused
 	}
-	if resp, ok := n.forward(ctx, req); ok && helpOf(resp) == reach.Helped {
+	if resp, decided := n.forward(ctx, req); decided {
 		return resp
 	}
 	req.unhelped = true
 	return refused
 }
 
-// forward lets another node serve a request. ok is false if none can be asked.
-func (n *Node) forward(ctx context.Context, req *request) (resp response, ok bool) {
+// forward lets another node serve a request. It reports false if none could, and this node may still
+// send the request itself.
+func (n *Node) forward(ctx context.Context, req *request) (resp response, decided bool) {
 	var tried []inventory.EntryID
 	began := time.Now()
 	until := began.Add(time.Duration(maxForwardShare * float64(req.remaining(began))))
 	for range maxForwarders {
 		now := time.Now()
 		if !now.Before(until) || isCanceled(ctx) {
-			return resp, ok
+			break
 		}
 		to, found := n.forwarders.Choose(now, reach.Query{Service: req.service, Homes: req.route.HomeRegions, Tried: tried})
 		if !found {
-			return resp, ok
+			break
 		}
 		tried = append(tried, to)
-		next, help := n.forwardTo(ctx, req, to)
-		n.forwarders.Done(time.Now(), to, req.service, help)
-		n.metrics.increment("forward." + string(help))
-		resp, ok = mergeResponses(resp, next), true
-		if help == reach.Helped || help == reach.Silent || !n.mayRetry(req, resp) {
-			return resp, ok
+		next := n.forwardTo(ctx, req, to)
+		n.forwarders.Done(time.Now(), to, req.service, next.help)
+		n.metrics.increment("forward." + string(next.help))
+		resp = mergeResponses(resp, next.response)
+		if next.isFinal() || !next.unsent && !n.mayRetry(req, resp) {
+			return resp, true
 		}
 		if next.outcome == caller.OutcomeUnknown && !n.retries.AllowRetry(time.Now(), req.service) {
 			n.metrics.increment("retry.refused")
-			return resp, ok
+			return resp, true
 		}
 	}
-	return resp, ok
+	return resp, resp.outcome == caller.OutcomeUnknown
 }
 
-// forwardTo sends a request to another node and returns its response.
-func (n *Node) forwardTo(ctx context.Context, req *request, to inventory.EntryID) (response, reach.Help) {
+// forwarded is what came of a request at another node.
+type forwarded struct {
+	response
+	help   reach.Help
+	unsent bool // nothing was sent
+}
+
+// isFinal reports whether the request is not offered to a further node.
+func (f forwarded) isFinal() bool { return f.help == reach.Helped || f.help == reach.Silent }
+
+// forwardTo sends a request to another node and returns what came of it.
+func (n *Node) forwardTo(ctx context.Context, req *request, to inventory.EntryID) forwarded {
 	address, known := n.members.PeerAddress(to)
 	if !known {
-		return cutOffResponse(req), reach.Unavail
+		return forwarded{cutOffResponse(req), reach.Unavail, true}
 	}
 	ctx, cancel := req.context(ctx)
 	defer cancel()
@@ -163,40 +185,39 @@
 	if err != nil && !errors.As(err, &failed) {
 		failed = &exchange.Error{Op: "exchange", Kind: exchange.KindBroken, Err: err}
 	}
-	a := attempt{endpoint: inventory.EndpointID("node " + to), result: "answered", took: time.Since(start)}
-	out, help := forwardResult(req, resp, failed)
+	out := forwardResult(req, resp, failed)
+	a := attempt{endpoint: inventory.EndpointID("node " + to), result: "answered", took: time.Since(start), repeatable: true}
 	if failed != nil {
 		a.result = string(failed.Kind)
 	}
 	if out.outcome != caller.OutcomeRan {
 		a.cause = string(out.reason)
 	}
-	a.repeatable = true
 	req.attempts = append(req.attempts, a)
-	return out, help
+	return out
 }
 
 // forwardResult returns the response of another node, and whether it could help.
-func forwardResult(req *request, resp exchange.Response, failed *exchange.Error) (response, reach.Help) {
+func forwardResult(req *request, resp exchange.Response, failed *exchange.Error) forwarded {
 	switch {
 	case failed != nil && failed.Kind == exchange.KindCanceled:
-		return response{outcome: caller.OutcomeCanceled, reason: caller.Reason(failed.Kind)}, reach.Silent
+		return forwarded{response{outcome: caller.OutcomeCanceled, reason: caller.Reason(failed.Kind)}, reach.Silent, false}
 	case failed != nil && exchange.NotRun(failed):
-		return cutOffResponse(req), reach.Unavail
+		return forwarded{cutOffResponse(req), reach.Unavail, isUnsent(failed.Kind)}
 	case failed != nil && failed.Kind == exchange.KindTimeout:
-		return unknown(failed.Kind), reach.Silent
+		return forwarded{unknown(failed.Kind), reach.Silent, false}
 	case failed != nil:
-		return unknown(failed.Kind), reach.Unavail
+		return forwarded{unknown(failed.Kind), reach.Unavail, false}
 	}
 	outcome := caller.Outcome(resp.Header.Get(caller.HeaderOutcome))
 	if outcome == "" {
-		return ran(resp), reach.Helped
+		return forwarded{ran(resp), reach.Helped, false}
 	}
 	out := response{outcome: outcome, reason: caller.Reason(resp.Header.Get(caller.HeaderReason)), status: resp.Status}
 	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		out.retryAfter = time.Duration(s * float64(time.Second))
 	}
-	return out, helpOf(out)
+	return forwarded{out, helpOf(out), false}
 }
 
 // helpOf returns whether a node that does not return an endpoint's response could help.
@@ -217,50 +238,3 @@
 func cutOffResponse(req *request) response {
 	return notRun(ReasonCutOff, admission.RetryAfter(defaultRetryAfter, req.remaining(time.Now())))
 }
-
-// serveForwarded handles a request of another node.
-func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request) {
-	from, err := parseForwarded(r.Header.Get(headerForward))
-	if err != nil {
-		n.metrics.increment("forward.malformed")
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	r.Header.Del(headerForward)
-	n.inFlight.Add(1)
-	defer n.inFlight.Add(-1)
-	defer n.forwarded.Add(-1)
-	now := time.Now()
-	if count := n.forwarded.Add(1); count > maxForwarded || time.Duration(n.tickDelay.Load()) > maxForwardDelay {
-		n.rejectForwarded(w, r, ReasonBusy)
-		return
-	}
-	switch state, _ := n.reach.State(now); {
-	case n.state() != StateServing:
-		n.rejectForwarded(w, r, ReasonLeaving)
-	case n.version() < from.version:
-		n.rejectForwarded(w, r, ReasonBehind)
-	case state == reach.StateCutOff:
-		n.rejectForwarded(w, r, ReasonCutOff)
-	default:
-		req, resp := n.handle(w, r, now, &from)
-		w.Header().Set(n.headerNames.Request, r.Header.Get(n.headerNames.Request))
-		n.writeResponse(w, resp)
-		n.metrics.increment("forwarded." + string(resp.outcome))
-		n.recordRequest(r, req, resp)
-	}
-}
-
-// rejectForwarded rejects a request of another node that this one can't serve.
-func (n *Node) rejectForwarded(w http.ResponseWriter, r *http.Request, reason caller.Reason) {
-	n.metrics.increment("forwarded." + string(reason))
-	w.Header().Set(n.headerNames.Request, r.Header.Get(n.headerNames.Request))
-	n.writeResponse(w, notRun(reason, 0))
-}
-
-// awaitForwarded waits until the requests of other nodes have ended, or ctx ends.
-func (n *Node) awaitForwarded(ctx context.Context) {
-	for n.forwarded.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, forwardPollDelay)
-	}
-}
--- a/node/forward_test.go
+++ b/node/forward_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -206,6 +207,17 @@
 			resp := h.send(h.t.Context(), "n1", testRequest{method: http.MethodPost, path: "/post/x", body: strings.Repeat("b", 2000)})
 			convey.So(resp.status, convey.ShouldEqual, http.StatusRequestEntityTooLarge)
 		},
+		"a body that is streamed reaches one node only, as a whole": func(h *harness, w *witness) {
+			h.cutEndpoints(cutRefuse, true, anyEndpoint, "n2", "n3")
+			w.load(h, 40, 3*time.Second, "/get/x", "n2", "n3")
+			for range 20 {
+				resp := h.send(h.t.Context(), "n1", testRequest{method: http.MethodPost, path: "/post/x", body: strings.Repeat("b", maxBufferedBody+1000)})
+				if resp.outcome == caller.OutcomeRan {
+					convey.So(len(resp.echo.Body), convey.ShouldEqual, maxBufferedBody+1000)
+				}
+				convey.So(h.runCount(resp.id), convey.ShouldBeLessThanOrEqualTo, 1)
+			}
+		},
 		"nobody forwards them once more": func(h *harness, w *witness) {
 			h.cutEndpoints(cutHang, true, anyEndpoint, "n2", "n3", "n4")
 			w.load(h, 40, 3*time.Second, "/get/x", "n2", "n3", "n4")
@@ -220,6 +232,9 @@
 			withHarness(t, func(h *harness) {
 				convey.Convey("While the node that received them is cut off", t, func() {
 					w := h.watch(h.serviceTargets("s")[0])
+					if strings.Contains(name, "streamed") {
+						h.publish(bytes.Replace(testInventory(), []byte("body = 1000"), []byte("body = 1000000"), 1))
+					}
 					w.load(h, 40, 5*time.Second, "/get/x", "n1", "n2", "n3", "n4")
 					h.cutEndpoints(cutHang, true, anyEndpoint, "n1")
 					w.load(h, 40, 3*time.Second, "/get/x", "n1")
--- a/node/handler.go
+++ b/node/handler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -86,7 +87,7 @@
 func (n *Node) writeEndpointResponse(w http.ResponseWriter, resp response) {
 	h := w.Header()
 	for name, values := range resp.endpointResponse.Header {
-		if name != n.headerNames.Load && name != n.headerNames.Limit && name != n.headerNames.Instance && name != n.headerNames.Leaving && name != n.headerNames.Cold {
+		if !n.isInternal(name) {
 			h[name] = values
 		}
 	}
@@ -98,6 +99,13 @@
 	_, _ = w.Write(resp.endpointResponse.Body) // net/http detects a caller that has disconnected
 }
 
+// isInternal reports whether a header of an endpoint's response is for nodes, or would be taken for one
+// of a node.
+func (n *Node) isInternal(name string) bool {
+	names := n.headerNames
+	return slices.Contains([]string{names.Load, names.Limit, names.Instance, names.Leaving, names.Cold, caller.HeaderOutcome, caller.HeaderReason}, name)
+}
+
 // recordRequest updates the metrics of a request and logs it.
 func (n *Node) recordRequest(r *http.Request, req *request, resp response) {
 	n.metrics.increment("outcome." + string(resp.outcome))
--- a/node/reach.go
+++ b/node/reach.go
@@ -141,7 +141,7 @@
 	if silent {
 		n.attempts.cancelAll()
 	}
-	n.endpoints.WakeSubscribers()
+	n.endpoints.WakeSubscribers() // so that other nodes forward nothing to this one
 }
 
 func (n *Node) reachState() reach.State {
--- a/node/steer.go
+++ b/node/steer.go
@@ -13,7 +13,6 @@
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/exchange"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
-	"github.com/wasabiwheel/wasabiwheel/reach"
 )
 
 const (
@@ -77,22 +76,6 @@
 	return last
 }
 
-// steerElsewhere lets another node serve a request, since this one reaches no endpoint. It reports
-// false if no node can and kept connections to endpoints may still live.
-func (n *Node) steerElsewhere(ctx context.Context, now time.Time, req *request, last response) (resp response, done bool) {
-	if req.sent > 0 && !n.retries.AllowRetry(now, req.service) {
-		n.metrics.increment("retry.refused")
-		return last, true
-	}
-	if resp, ok := n.forward(ctx, req); ok && helpOf(resp) == reach.Helped {
-		return mergeResponses(last, resp), true
-	}
-	if n.reach.IsSilent(now) {
-		return preferPrevious(last, cutOffResponse(req)), true
-	}
-	return response{}, false
-}
-
 // countRequest counts a request in the retry budget, once.
 func (n *Node) countRequest(req *request) {
 	if !req.counted {
--- a/soak/signals.go
+++ b/soak/signals.go
@@ -148,27 +148,34 @@
 func (c *Checker) RecordLeavingTold(now time.Time, id string, e EndpointInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.states[id]
-	if r == nil || r.sender == unknownSender {
+	key, ok := c.linkOf(id, e)
+	if !ok {
 		return
 	}
-	key := link{e.ID, r.sender}
-	if t, ok := c.toldLeaving[key]; !ok || t.incarnation != c.incarnations[r.sender] {
-		c.toldLeaving[key] = told{at: now, incarnation: c.incarnations[r.sender]}
+	if t, is := c.toldLeaving[key]; !is || t.incarnation != c.incarnations[key.sender] {
+		c.toldLeaving[key] = told{at: now, incarnation: c.incarnations[key.sender]}
 	}
 }
 
+// linkOf returns the link on which a request reached an endpoint, if its sender is known.
+func (c *Checker) linkOf(id string, e EndpointInfo) (link, bool) {
+	r := c.states[id]
+	if r == nil || r.sender == unknownSender {
+		return link{}, false
+	}
+	return link{e.ID, r.sender}, true
+}
+
 // RecordPauseTold records that a rejection asks for a pause.
 func (c *Checker) RecordPauseTold(now time.Time, id string, e EndpointInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.states[id]
-	if r == nil || r.sender == unknownSender {
+	key, ok := c.linkOf(id, e)
+	if !ok {
 		return
 	}
-	key := link{e.ID, r.sender}
-	if p := c.pauses[key]; p == nil || now.Sub(p.at) >= askedPause || p.incarnation != c.incarnations[r.sender] {
-		c.pauses[key] = &pauseAsked{told: told{at: now, incarnation: c.incarnations[r.sender]}}
+	if p := c.pauses[key]; p == nil || now.Sub(p.at) >= askedPause || p.incarnation != c.incarnations[key.sender] {
+		c.pauses[key] = &pauseAsked{told: told{at: now, incarnation: c.incarnations[key.sender]}}
 	}
 }
 
