endpoint: the late news of a start does not end what that process has said

Now a statement that is newer than the start that the entry names passes on to it: a pause within a second of it, since clocks differ and a pause is short; that it leaves only 5 s after it, since a wrong one would keep a new process out.

--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -348,6 +348,11 @@
 		"restarted reader does not publish removals":  {57, 20 * time.Second, true},
 		"nodes considered ready too early":            {18, 20 * time.Second, true},
 		"versions assigned again after two restores":  {819, 20 * time.Second, true},
+		"an undrain whose answer is lost":             {1007, 20 * time.Second, true},
+		"the only node left stands still":             {1011, 20 * time.Second, true},
+		"all nodes that are not cut off are down":     {1012, 20 * time.Second, true},
+		"two endpoints of a service, paused, leaving": {1024, 20 * time.Second, true},
+		"the news of a start after its first pause":   {1058, 20 * time.Second, true},
 	}
 	for name, c := range cases {
 		if c.regression && !*foundSeeds {
--- a/endpoint/leaving_test.go
+++ b/endpoint/leaving_test.go
@@ -30,6 +30,9 @@
 		"a later start": {func(table *Table, c Choice) {
 			registered(table, at(2), c, func(e *inventory.Endpoint) { e.Start = at(1.5) })
 		}, false},
+		"a start before, heard of late": {func(table *Table, c Choice) {
+			registered(table, at(2), c, func(e *inventory.Endpoint) { e.Start = at(-5) })
+		}, true},
 		"another address": {func(table *Table, c Choice) {
 			registered(table, at(2), c, func(e *inventory.Endpoint) { e.Address = "10.9.9.9:80" })
 		}, false},
--- a/endpoint/pause.go
+++ b/endpoint/pause.go
@@ -26,6 +26,7 @@
 
 // pause is the time for which an endpoint wants no requests of this node.
 type pause struct {
+	at     time.Time // when the endpoint asked for it
 	until  time.Time
 	window int // requests in flight, at most, after until; 0: not bounded
 }
@@ -54,7 +55,7 @@
 	s := c.state
 	end := now.Add(min(d, maxPause))
 	if d > 0 && t.byID[s.ID] == s && end.After(s.pause.until) {
-		s.pause = pause{until: end, window: 1}
+		s.pause = pause{at: now, until: end, window: 1}
 	}
 	return s.pause.until
 }
--- a/endpoint/pause_test.go
+++ b/endpoint/pause_test.go
@@ -31,8 +31,9 @@
 		"an answer since": {4 * time.Second, func(table *Table, c Choice) {
 			table.Finish(at(2), c, Result{Verdict: VerdictServed, Took: time.Second})
 		}, 4},
-		"the process paused": {4 * time.Second, func(table *Table, _ Choice) { table.Paused(3 * time.Second) }, 1},
-		"a later start":      {4 * time.Second, func(table *Table, c Choice) { again(table, at(2), c, at(1)) }, 0},
+		"the process paused":            {4 * time.Second, func(table *Table, _ Choice) { table.Paused(3 * time.Second) }, 1},
+		"a start before, heard of late": {4 * time.Second, func(table *Table, c Choice) { again(table, at(2), c, at(-0.5)) }, 4},
+		"a later start":                 {4 * time.Second, func(table *Table, c Choice) { again(table, at(2), c, at(1)) }, 0},
 		"its entry was removed and is back": {4 * time.Second, func(table *Table, c Choice) {
 			table.Removed(at(2), c.Endpoint.ID)
 			again(table, at(2), c, started)
--- a/endpoint/statement.go
+++ b/endpoint/statement.go
@@ -31,6 +31,28 @@
 	return s.limit.at.IsZero() && s.leaving.at.IsZero() && s.pause.until.IsZero()
 }
 
+// The news of a start may be later than the first responses of the process, which then seem to be
+// those of the former one. Clocks of VMs differ, so a statement has to be newer than the start by a
+// margin; that of a pause may be negative, since a pause is short.
+const (
+	pauseMargin   = -time.Second
+	leavingMargin = 5 * time.Second
+)
+
+// inherit takes over what an endpoint has said since it started at a time, but was recorded as that
+// of the former process.
+func (s *statements) inherit(former *statements, started time.Time) {
+	if started.IsZero() {
+		return
+	}
+	if former.pause.at.After(started.Add(pauseMargin)) {
+		s.pause = former.pause
+	}
+	if former.leaving.said && former.leaving.at.After(started.Add(leavingMargin)) {
+		s.leaving = former.leaving
+	}
+}
+
 // start identifies one start of an endpoint.
 type start struct {
 	endpoint inventory.EndpointID
@@ -106,7 +128,7 @@
 }
 
 func (s *statements) age(by time.Duration) {
-	for _, at := range []*time.Time{&s.limit.at, &s.leaving.since, &s.leaving.at, &s.leaving.takenBack, &s.pause.until} {
+	for _, at := range []*time.Time{&s.limit.at, &s.leaving.since, &s.leaving.at, &s.leaving.takenBack, &s.pause.at, &s.pause.until} {
 		if !at.IsZero() {
 			*at = at.Add(-by)
 		}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -139,12 +139,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[e.ID]
+	var former *endpointState
 	if s != nil && (s.Service != e.Service || s.Address != e.Address || !s.Start.Equal(e.Start)) {
 		t.remove(now, s)
-		s = nil
+		former, s = s, nil
 	}
 	if s == nil {
 		s = t.add(e)
+		if former != nil && former.Service == e.Service && former.Address == e.Address {
+			s.statements.inherit(former.statements, e.Start)
+		}
 		s.warmup.extend(now, e.ColdRemaining)
 		return true
 	}
