--- a/node/reach.go
+++ b/node/reach.go
@@ -29,7 +29,7 @@
 type directAttempts struct {
 	mu      sync.Mutex
 	last    reach.Attempt
-	waiting map[reach.Attempt]context.CancelCauseFunc // nil: it may not be repeated
+	waiting map[reach.Attempt]context.CancelCauseFunc
 }
 
 // track lets an attempt count for the detector, and be canceled when the node is cut off if its
--- a/reach/forwarders.go
+++ b/reach/forwarders.go
@@ -114,9 +114,8 @@
 			f.far = append(f.far, n)
 		}
 	}
-	isGone := func(id inventory.EntryID, _ time.Time) bool { return !known[id] }
-	maps.DeleteFunc(f.avoided, isGone)
-	maps.DeleteFunc(f.helpful, func(id inventory.EntryID, h helper) bool { return isGone(id, h.at) })
+	maps.DeleteFunc(f.avoided, func(id inventory.EntryID, _ time.Time) bool { return !known[id] })
+	maps.DeleteFunc(f.helpful, func(id inventory.EntryID, _ helper) bool { return !known[id] })
 }
 
 // Query holds the requirements of a request to be forwarded.
