node, cmd: status and metrics show how many endpoints leave or pause, and what says so

Metrics endpoints.draining (by entries), endpoints.leaving (by responses) and endpoints.paused; the status command shows leaving and paused endpoints, and whether the node reaches endpoints.

--- a/cmd/wasabiwheel/query.go
+++ b/cmd/wasabiwheel/query.go
@@ -98,7 +98,7 @@
 	if c.JSON {
 		return json.NewEncoder(output).Encode(s)
 	}
-	fmt.Fprintf(output, "%s\t%s\tversion %d\talive %v\tdrained %v\tinflight %d\n", s.Entry, s.State, s.Version, s.Alive, s.Drained, s.InFlight)
+	fmt.Fprintf(output, "%s\t%s\tversion %d\talive %v\tdrained %v\tinflight %d\tendpoints %s\n", s.Entry, s.State, s.Version, s.Alive, s.Drained, s.InFlight, s.Reach)
 	for _, e := range s.Endpoints {
 		fmt.Fprintf(output, "\t%s\t%s\t%s\tslots %d\tinflight %d\tbusy %.1f%s\n", e.ID, e.Service, e.Domain, e.Slots, e.InFlight, e.Requests, endpointFlags(e))
 	}
@@ -129,7 +129,7 @@
 	for _, f := range []struct {
 		name string
 		set  bool
-	}{{"draining", e.Draining}, {"cold", e.Cold}, {"resting", e.Backoff}, {"replaced", e.Replaced}} {
+	}{{"draining", e.Draining}, {"leaving", e.Leaving > 0}, {"paused", e.Pause > 0}, {"cold", e.Cold}, {"resting", e.Backoff}, {"replaced", e.Replaced}} {
 		if f.set {
 			text += "\t" + f.name
 		}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -353,6 +353,32 @@
 	return all
 }
 
+// Counts holds the numbers of endpoints that get no requests by their own word.
+type Counts struct {
+	Draining int // by their entries
+	Leaving  int // by their responses
+	Paused   int // that have asked this node for a pause
+}
+
+// Counts returns the numbers of endpoints that get no requests by their own word.
+func (t *Table) Counts(now time.Time) Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var c Counts
+	for _, s := range t.byID {
+		if s.Draining {
+			c.Draining++
+		}
+		if s.leaving.said {
+			c.Leaving++
+		}
+		if now.Before(s.pause.until) {
+			c.Paused++
+		}
+	}
+	return c
+}
+
 // SetBounds replaces the bounds.
 func (t *Table) SetBounds(b Bounds) {
 	t.mu.Lock()
--- a/node/admin.go
+++ b/node/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -75,6 +76,8 @@
 	})
 	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		c := n.endpoints.Counts(time.Now())
+		_, _ = fmt.Fprintf(w, "endpoints.draining %d\nendpoints.leaving %d\nendpoints.paused %d\n", c.Draining, c.Leaving, c.Paused)
 		_ = n.metrics.write(w) // fails only if the client has disconnected
 	})
 	mux.HandleFunc("GET "+PathQuarantine, func(w http.ResponseWriter, _ *http.Request) {
--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -141,6 +142,25 @@
 	})
 }
 
+func TestMetricsCountWhatEndpointsSay(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		convey.Convey("By the entry, by responses, and of pauses", t, func() {
+			targets := h.serviceTargets("s")
+			w := h.watch(targets[0])
+			targets[0].SetBehaviour(standin.Behaviour{Work: defaultWork, Slots: 3, Leaving: "1"})
+			targets[1].SetBehaviour(standin.Behaviour{Work: defaultWork, Slots: 3, Shed: true, Pause: "60"})
+			convey.So(targets[2].endpoint.Drain(h.t.Context()), convey.ShouldBeNil)
+			w.load(h, 40, 5*time.Second, "/get/x", "n1")
+			resp, err := h.caller.Get("http://" + h.entry("n1").Admin + PathMetrics)
+			convey.So(err, convey.ShouldBeNil)
+			defer func() { _ = resp.Body.Close() }()
+			text, err := io.ReadAll(resp.Body)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(text), convey.ShouldStartWith, "endpoints.draining 1\nendpoints.leaving 1\nendpoints.paused 1\n")
+		})
+	})
+}
+
 // TestSignalsThatCannotBeRead guards against a service that is lost to what its endpoints say by
 // mistake.
 func TestSignalsThatCannotBeRead(t *testing.T) {
