reach, node: a node that is behind by a configuration for a moment is not left out for seconds

Such a rejection now concerns its request only.

TestNodeThatIsBehindForAMomentStaysInUse failed for behind and route before.

--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -352,6 +352,7 @@
 		"the only node left stands still":             {1011, 20 * time.Second, true},
 		"all nodes that are not cut off are down":     {1012, 20 * time.Second, true},
 		"two endpoints of a service, paused, leaving": {1024, 20 * time.Second, true},
+		"cut off while a configuration changes":       {1201, 20 * time.Second, true},
 		"the news of a start after its first pause":   {1058, 20 * time.Second, true},
 	}
 	for name, c := range cases {
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -7,7 +7,11 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/wasabiwheel/wasabiwheel/caller"
+	"github.com/wasabiwheel/wasabiwheel/endpoint"
+	"github.com/wasabiwheel/wasabiwheel/exchange"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
+	"github.com/wasabiwheel/wasabiwheel/reach"
 	"github.com/wasabiwheel/wasabiwheel/standin"
 )
 
@@ -106,6 +110,24 @@
 	}
 }
 
+// TestNodeThatIsBehindForAMomentStaysInUse guards against a node that is left out for seconds since it
+// gets a configuration a moment later than the one that is cut off.
+func TestNodeThatIsBehindForAMomentStaysInUse(t *testing.T) {
+	cases := map[caller.Reason]reach.Help{
+		ReasonBehind: reach.Busy, ReasonRoute: reach.Busy,
+		ReasonCutOff: reach.Unavail, ReasonBusy: reach.Unavail, ReasonStarting: reach.Unavail, ReasonLeaving: reach.Unavail,
+		caller.Reason(exchange.KindUnreachable): reach.NoEndpoint, caller.Reason(endpoint.ReasonBackoff): reach.NoEndpoint,
+		ReasonLate: reach.Helped, ReasonQuarantined: reach.Helped, caller.Reason(endpoint.ReasonPause): reach.Helped,
+	}
+	for reason, want := range cases {
+		t.Run(string(reason), func(t *testing.T) {
+			convey.Convey("By the reason of its rejection", t, func() {
+				convey.So(helpOf(notRun(reason, 0)), convey.ShouldEqual, want)
+			})
+		})
+	}
+}
+
 // TestCutOffNodesAccuseNoRequest guards against requests that are taken for the cause of a crash
 // since the links of their node were reset.
 func TestCutOffNodesAccuseNoRequest(t *testing.T) {
--- a/node/forward.go
+++ b/node/forward.go
@@ -226,7 +226,9 @@
 		return reach.Helped
 	}
 	switch resp.reason {
-	case ReasonCutOff, ReasonBusy, ReasonBehind, ReasonStarting, ReasonLeaving, ReasonRoute:
+	case ReasonBehind, ReasonRoute: // it gets the configuration within a moment
+		return reach.Busy
+	case ReasonCutOff, ReasonBusy, ReasonStarting, ReasonLeaving:
 		return reach.Unavail
 	case caller.Reason(exchange.KindUnreachable), caller.Reason(endpoint.ReasonBackoff):
 		return reach.NoEndpoint
--- a/reach/detector_test.go
+++ b/reach/detector_test.go
@@ -132,6 +132,7 @@
 		"cut off by its own word": {func(f *Forwarders) { f.Avoid(epoch, "n2") }, Query{}, []inventory.EntryID{"n3"}},
 		"cut off before":          {func(f *Forwarders) { f.Avoid(at(-2), "n2") }, Query{}, []inventory.EntryID{"n2", "n3"}},
 		"could not be reached":    {func(f *Forwarders) { f.Done(epoch, "n3", "s", Unavail) }, Query{}, []inventory.EntryID{"n2"}},
+		"could not take one":      {func(f *Forwarders) { f.Done(epoch, "n3", "s", Busy) }, Query{}, []inventory.EntryID{"n2", "n3"}},
 		"could not, and helped":   {func(f *Forwarders) { f.Done(epoch, "n3", "s", Unavail); f.Done(epoch, "n3", "s", Helped) }, Query{}, []inventory.EntryID{"n2", "n3"}},
 		"one has no endpoint":     {func(f *Forwarders) { f.Done(epoch, "n3", "s", NoEndpoint); f.Done(epoch, "n3", "s", NoEndpoint) }, Query{Service: "s"}, []inventory.EntryID{"n2", "n3"}},
 		"two have no endpoint":    {func(f *Forwarders) { f.Done(epoch, "n2", "s", NoEndpoint); f.Done(epoch, "n3", "s", NoEndpoint) }, Query{Service: "s"}, nil},
--- a/reach/forwarders.go
+++ b/reach/forwarders.go
@@ -232,6 +232,7 @@
 const (
 	Helped     Help = "yes"        // the node has decided on the request, whatever the outcome
 	Unavail    Help = "node"       // the node can't be reached, is cut off or overloaded
+	Busy       Help = "busy"       // the node can't take this request, but may take the next one
 	Silent     Help = "silent"     // it did not answer in time
 	NoEndpoint Help = "noendpoint" // the node reaches no endpoint of the service either
 )
