--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -96,6 +96,9 @@
 	machines []*machine
 	record   *record
 	limitFds bool // the machines' processes may open maxFds descriptors, as DEPLOY.md says
+
+	mu      sync.Mutex
+	stopped bool // no further process is started
 }
 
 // newDeployment serves the store and writes the settings. It starts no node.
@@ -172,6 +175,11 @@
 
 // startNode starts the node of a machine with the command of the deploy file.
 func (d *deployment) startNode(m *machine) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return nil
+	}
 	if m.log == nil {
 		f, err := os.Create(filepath.Join(d.dir, m.name+".log"))
 		if err != nil {
@@ -270,6 +278,9 @@
 
 // stop ends all processes of the deployment.
 func (d *deployment) stop() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
 	for _, m := range d.machines {
 		d.kill(m)
 		if m.log != nil {
