--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -88,12 +88,3 @@
 	}
 	return fmt.Sprintf("%d after %.3f s signature=%q reason=%q", a.status, a.took.Seconds(), a.header.Get(headerSignature), a.header.Get("Retry-After"))
 }
-
-// isPromise reports whether the status says that the request has not run and never will.
-func (a answer) isPromise() bool {
-	switch a.status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,15 +34,12 @@
 	slots             int
 	work              func(*http.Request) time.Duration
 	record            *record
-	shed              float64 // share of the requests that it rejects, though it has room
-	extra             float64 // share of its answers of which it sends a second copy, late
 
 	listener net.Listener
 	mu       sync.Mutex
 	running  int
 	waiting  int
 	free     *sync.Cond
-	trouble  bool
 }
 
 // start serves and registers the endpoint.
@@ -75,23 +71,10 @@
 	return nil
 }
 
-func (e *endpoint) setTrouble(on bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.trouble = on
-}
-
-func (e *endpoint) inTrouble() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.trouble
-}
-
 // serve handles the requests of a connection one after the other.
 func (e *endpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
-	late := "" // second copy of the last answer, sent where the next one is expected
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(endpointIdleTime))
 		r, err := http.ReadRequest(in)
@@ -103,20 +86,9 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
-		if late != "" {
-			if _, err := io.WriteString(c, late); err != nil {
-				return
-			}
-			e.record.line("extra copy sent endpoint=%s before the answer to request=%s", e.id, r.Header.Get(headerRequest))
-			late = ""
-		}
-		answer := e.handle(r, received)
-		if _, err := io.WriteString(c, answer); err != nil {
+		if _, err := io.WriteString(c, e.handle(r, received)); err != nil {
 			return
 		}
-		if e.inTrouble() && rand.Float64() < e.extra {
-			late = answer
-		}
 	}
 }
 
@@ -129,10 +101,6 @@
 	if id == "" {
 		return e.answer(400, id, headerNotExecuted+": 1\r\n", "")
 	}
-	if e.inTrouble() && rand.Float64() < e.shed {
-		e.record.line("rejected endpoint=%s request=%s", e.id, id)
-		return e.answer(503, id, headerNotExecuted+": 1\r\n", "")
-	}
 	budget := time.Hour
 	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
 		budget = time.Duration(ms) * time.Millisecond
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -69,14 +69,6 @@
 	return s.write(kind, object{Metadata: metadata{Name: name}, Spec: data}).Metadata.Revision
 }
 
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if o, ok := s.objects[kind][name]; ok {
-		s.delete(kind, o)
-	}
-}
-
 func (s *store) write(kind string, o object) object {
 	s.revision++
 	o.Metadata.Revision = s.revision
