--- a/review/stand/accept.go
+++ b/review/stand/accept.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -38,48 +37,10 @@
 	answered, refused, failed atomic.Int64
 	end                       chan struct{}
 	done                      sync.WaitGroup
-
-	mu    sync.Mutex
-	alive []*machine // that the directory names
-}
-
-// resolve asks the directory of a running machine, as clients do, every two seconds.
-func (d *desks) resolve() {
-	for {
-		var alive []*machine
-		for _, m := range d.machines {
-			conn, err := net.DialTimeout("tcp", net.JoinHostPort(m.ip, portDirectory), connectTime)
-			if err != nil {
-				continue
-			}
-			_ = conn.Close()
-			if isReady(m) {
-				alive = append(alive, m)
-			}
-		}
-		d.mu.Lock()
-		d.alive = alive
-		d.mu.Unlock()
-		select {
-		case <-d.end:
-			return
-		case <-time.After(2 * time.Second):
-		}
-	}
-}
-
-// pick returns a machine that the directory names.
-func (d *desks) pick() *machine {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.alive) == 0 {
-		return nil
-	}
-	return d.alive[rand.IntN(len(d.alive))]
 }
 
 // desk sends a request every reuseTime on a connection that it keeps.
-func (d *desks) desk() {
+func (d *desks) desk(where *directory) {
 	var c *client
 	timer := time.NewTimer(rand.N(reuseTime))
 	for {
@@ -92,38 +53,44 @@
 		case <-timer.C:
 		}
 		timer.Reset(reuseTime)
-		for range 2 { // each request is tried again once, on a new connection
-			if c == nil {
-				m := d.pick()
-				if m == nil {
-					d.failed.Add(1)
-					break
-				}
-				next, err := dial(m.front())
-				if err != nil {
-					d.failed.Add(1)
-					continue
-				}
-				c = next
-			}
-			k := lookupKind
-			q := request{id: newID(), method: k.method, host: k.host, path: k.prefix + fmt.Sprintf("%x", rand.IntN(256)), object: fmt.Sprint(rand.IntN(300)), budget: k.budget}
-			d.record.line("sent request=%s to=%s", q.id, c.RemoteAddr())
-			a := c.do(q)
-			d.record.line("answered request=%s %s", q.id, a.text())
-			if a.status == http.StatusOK {
-				d.answered.Add(1)
-				break
-			}
-			if a.status != 0 {
-				d.refused.Add(1)
-				break
+		c = d.request(where, c)
+	}
+}
+
+// request sends a request and, if it gets no answer, once more on a new connection. It returns the
+// connection to keep.
+func (d *desks) request(where *directory, c *client) *client {
+	var tried []string
+	for range 2 {
+		if c == nil {
+			address := where.pick(tried...)
+			next, err := dial(address)
+			tried = append(tried, address)
+			if err != nil {
+				d.failed.Add(1)
+				continue
 			}
+			c = next
+		}
+		k := lookupKind
+		q := request{id: newID(), method: k.method, host: k.host, path: k.prefix + fmt.Sprintf("%x", rand.IntN(256)), object: fmt.Sprint(rand.IntN(300)), budget: k.budget}
+		d.record.line("sent request=%s to=%s", q.id, c.RemoteAddr())
+		a := c.do(q)
+		d.record.line("answered request=%s %s", q.id, a.text())
+		switch a.status {
+		case http.StatusOK:
+			d.answered.Add(1)
+			return c
+		case 0:
 			d.failed.Add(1)
 			_ = c.Close()
 			c = nil
+		default:
+			d.refused.Add(1)
+			return c
 		}
 	}
+	return c
 }
 
 // playAccept lets desks keep connections while all machines but one are lost and return, and then
@@ -145,11 +112,10 @@
 		return false, err
 	}
 	d := &desks{deployment: dep, end: make(chan struct{})}
-	go d.resolve()
-	time.Sleep(time.Second)
+	directories := newDirectories(dep, lookupKind.host)
 	count := int(lumbrePerS * reuseTime.Seconds())
-	for range count {
-		d.done.Go(d.desk)
+	for i := range count {
+		d.done.Go(func() { d.desk(directories[i%len(directories)]) })
 	}
 	r.record.say("%d desks, each with one connection and a request every %s", count, reuseTime)
 	survivor, others := dep.machines[0], dep.machines[1:]
@@ -171,7 +137,7 @@
 	close(d.end)
 	d.done.Wait()
 	d.watch(4*time.Second, survivor)
-	return d.probe(survivor), nil
+	return d.probe(survivor, directories[0]), nil
 }
 
 // watch records every two seconds what the desks and a machine see.
@@ -183,7 +149,7 @@
 
 // probe lets new clients open connections to a machine for probeTime, without any other load, and
 // reports whether it says that it is ready all the while and answers none of them.
-func (d *desks) probe(m *machine) (broken bool) {
+func (d *desks) probe(m *machine, near *directory) (broken bool) {
 	var answered, tried, connected atomic.Int64
 	ready := true
 	var clients sync.WaitGroup
@@ -213,7 +179,7 @@
 	}
 	for time.Now().Before(end) {
 		now := isReady(m)
-		d.record.line("ready machine=%s %t", m.name, now)
+		d.record.line("ready machine=%s %t; named by the directory of %s: %t", m.name, now, d.machines[1].name, near.names(d.machines[1], m))
 		ready = ready && now
 		time.Sleep(time.Second)
 	}
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -237,6 +237,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// machineAt returns the machine with an address for requests.
+func (d *deployment) machineAt(address string) *machine {
+	for _, m := range d.machines {
+		if m.front() == address {
+			return m
+		}
+	}
+	return nil
+}
+
 func (m *machine) front() string { return net.JoinHostPort(m.ip, portFront) }
 
 // signal sends a signal to the node's process.
--- a/review/stand/traffic.go
+++ b/review/stand/traffic.go
@@ -69,7 +69,7 @@
 	return time.Duration(float64(d) * max(0.3, 1+0.15*rand.NormFloat64()))
 }
 
-// pool is a number of clients that keep one connection each to a machine drawn at random.
+// pool is a number of clients that keep one connection each, to a machine that the directory names.
 type pool struct {
 	*deployment
 	kinds   []kind
@@ -88,8 +88,9 @@
 	for _, k := range p.kinds {
 		total += k.perS
 	}
-	for range p.clients {
-		p.done.Go(func() { p.client(total / float64(p.clients)) })
+	directories := newDirectories(p.deployment, p.kinds[0].host)
+	for i := range p.clients {
+		p.done.Go(func() { p.client(directories[i%len(directories)], total/float64(p.clients)) })
 	}
 }
 
@@ -113,7 +114,7 @@
 	return p.kinds[0]
 }
 
-func (p *pool) client(perS float64) {
+func (p *pool) client(where *directory, perS float64) {
 	var c *client
 	var m *machine
 	for {
@@ -126,12 +127,12 @@
 		case <-time.After(time.Duration(rand.ExpFloat64() / perS * float64(time.Second))):
 		}
 		if c == nil {
-			m = p.machines[rand.IntN(len(p.machines))]
-			next, err := dial(m.front())
+			address := where.pick()
+			next, err := dial(address)
 			if err != nil {
 				continue
 			}
-			c = next
+			c, m = next, p.machineAt(address)
 		}
 		k := p.draw()
 		q := request{id: newID(), method: k.method, host: k.host, path: k.prefix + fmt.Sprintf("%x", rand.IntN(256)), object: fmt.Sprint(rand.IntN(300)), budget: k.budget, body: p.body}
