node: log the start and the heartbeat number of an endpoint's registration

The log showed draining true and then draining false at a later revision, which an endpoint that takes its drain back would show as well.

--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -161,6 +161,7 @@
 	Draining      bool          `toml:"-"`
 	ColdRemaining time.Duration `toml:"-"` // remaining time for which it is cold
 	Start         time.Time     `toml:"-"` // start of its process by its own clock; zero: unknown
+	Beat          uint64        `toml:"-"` // number of the heartbeat that wrote the registration, since Start; 0: unknown
 }
 
 // Link is the network path between two regions, declared once for both directions.
--- a/node/follow.go
+++ b/node/follow.go
@@ -152,7 +152,15 @@
 
 // String formats the registration for the log.
 func (r registration) String() string {
-	return fmt.Sprintf("%s %s %s %s slots %d draining %t cold %s revision %d", r.ID, r.Service, r.Domain, r.Address, r.Slots, r.Draining, r.ColdRemaining, r.revision)
+	return fmt.Sprintf("%s %s %s %s slots %d draining %t cold %s start %d beat %d revision %d", r.ID, r.Service, r.Domain, r.Address, r.Slots, r.Draining, r.ColdRemaining, startMillis(r.Endpoint), r.Beat, r.revision)
+}
+
+// startMillis returns the start of an endpoint in Unix milliseconds, 0 if it is unknown.
+func startMillis(e inventory.Endpoint) int64 {
+	if e.Start.IsZero() {
+		return 0
+	}
+	return e.Start.UnixMilli()
 }
 
 // applyEndpoints applies changes of the endpoints' entries.
@@ -173,7 +181,7 @@
 func logEndpoints(changed []registration) {
 	if len(changed) <= maxEndpointLines {
 		for _, e := range changed {
-			klog.InfoS("endpoint", "endpoint", e.ID, "service", e.Service, "domain", e.Domain, "address", e.Address, "slots", e.Slots, "draining", e.Draining, "cold", e.ColdRemaining, "revision", e.revision)
+			klog.InfoS("endpoint", "endpoint", e.ID, "service", e.Service, "domain", e.Domain, "address", e.Address, "slots", e.Slots, "draining", e.Draining, "cold", e.ColdRemaining, "start", startMillis(e.Endpoint), "beat", e.Beat, "revision", e.revision)
 		}
 		return
 	}
--- a/node/restore.go
+++ b/node/restore.go
@@ -67,6 +67,7 @@
 	}
 	x, err := platform.DecodeEndpoint(a)
 	y, otherErr := platform.DecodeEndpoint(b)
+	x.Beat, y.Beat = 0, 0
 	return err == nil && otherErr == nil && x == y
 }
 
