discovery, node: late registrations of endpoints are ignored

Cause: a write of the store without an answer may take effect seconds late. DecodeEndpoint dropped the number of the heartbeat, and the mirror and Table.Register took whatever the store had last. The log showed heartbeat 5, draining, and at a later revision heartbeat 2 of the same start, ready.

Copies now order the registrations of an endpoint by its start and the number, and retain the newer state, or the removal, over a late write, as they do after a restore of the store. What is retained is sent along with the changes, and to all neighbours when there is more. The known number may be far behind the last one, since the store changes an entry only if more than the number changes: a registration that is back after its removal under the same start gets requests after 6 s, and one that takes its drain back after 2 s, unless its service has no other endpoint.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -45,13 +45,14 @@
 	deliver sync.Mutex
 
 	kind       platform.Collection
-	policy     RestorePolicy
+	policy     RetentionPolicy
 	era        platform.Era // all revisions are of this era, except of what is retained
 	objects    map[string]platform.Object
 	tombstones map[string]tombstone
 	// removedBytes is the size of the states in tombstones.
 	removedBytes int
-	retained     map[string]retained // states of before the era, over objects
+	retained     map[string]retained // newer states than the store has, over objects
+	lateWrites   uint64              // over which a newer state was retained
 	pending      []Batch             // states to adopt after the first list
 	transition   transition          // that began the era
 	forgotten    platform.Revision   // tombstones up to this revision may have been dropped
@@ -75,7 +76,7 @@
 	From     *Origin             `cbor:"from,omitempty"` // state in an earlier era; nil: none
 	At       platform.Revision   `cbor:"at"`
 	Events   []platform.Event    `cbor:"events"`
-	Retained []Retained          `cbor:"kept,omitempty"` // states of before the era
+	Retained []Retained          `cbor:"kept,omitempty"` // newer states than the store has
 	// Differences lead to objects that are not in Events. Only a process that has asked for them
 	// gets them.
 	Differences []Difference      `cbor:"diffs,omitempty"`
@@ -97,7 +98,7 @@
 }
 
 // NewMirror returns an empty mirror of the collections kinds.
-func NewMirror(sink Sink, policy RestorePolicy, kinds ...platform.Collection) *Mirror {
+func NewMirror(sink Sink, policy RetentionPolicy, kinds ...platform.Collection) *Mirror {
 	m := &Mirror{sink: sink, collections: map[platform.Collection]*collection{}, changed: make(chan struct{})}
 	for _, k := range kinds {
 		m.collections[k] = &collection{kind: k, policy: policy, objects: map[string]platform.Object{}, tombstones: map[string]tombstone{}, retained: map[string]retained{}, differences: map[string][]Difference{}}
@@ -120,6 +121,7 @@
 	first := !c.complete
 	var events []platform.Event
 	var differences []Difference
+	changed := false
 	if !first && !restored { // computed without the lock; deliver excludes other changes
 		m.mu.Unlock()
 		differences = m.prepare(c, eventsOf(l))
@@ -134,7 +136,7 @@
 		if l.At < c.at { // delayed
 			events = c.current(events)
 		}
-		events = c.reveal(c.merge(events, l.At))
+		events, changed = c.merge(time.Now(), events, l.At)
 		c.keep(differences)
 	}
 	c.complete = true
@@ -147,7 +149,7 @@
 		}
 		c.pending = nil
 	}
-	m.notifyWaiters(len(events) > 0 || first || restored)
+	m.notifyWaiters(changed || first || restored)
 	m.mu.Unlock()
 	m.notifySink(kind, events)
 	if first {
@@ -172,12 +174,11 @@
 		m.mu.Unlock()
 		return
 	}
-	events := c.merge(c.current(changes.Events), changes.At)
+	told, changed := c.merge(time.Now(), c.current(changes.Events), changes.At)
 	c.keep(differences)
-	m.notifyWaiters(len(events) > 0)
-	events = c.reveal(events)
+	m.notifyWaiters(changed)
 	m.mu.Unlock()
-	m.notifySink(c.kind, events)
+	m.notifySink(c.kind, told)
 }
 
 // Receive merges a batch from another process. A batch of a collection that is not
@@ -277,27 +278,28 @@
 	return events
 }
 
-// merge applies the events that are newer than the known state and returns them in
-// the order of their revisions, without removals of objects that the sink does not know. All
-// changes up to revision at are known afterwards.
-func (c *collection) merge(events []platform.Event, at platform.Revision) []platform.Event {
+// merge applies the events that are newer than the known state, and reports whether there are any. It
+// returns those that the sink is told of, in the order of their revisions: neither late writes nor
+// removals of objects that the sink does not know. All changes up to revision at are known afterwards.
+func (c *collection) merge(now time.Time, events []platform.Event, at platform.Revision) (told []platform.Event, changed bool) {
 	sorted := slices.Clone(events)
 	slices.SortFunc(sorted, compareEvents)
-	var applied []platform.Event
 	for _, e := range sorted {
 		if !c.isNewer(e) { // compared one at a time, since one batch may create and remove an object
 			continue
 		}
 		_, wasKnown := c.objects[e.Object.Name]
 		_, wasRetained := c.retained[e.Object.Name]
+		isTold := c.supersede(now, e)
 		c.apply(e)
 		c.newest = max(c.newest, e.Object.Revision)
-		if !e.Removed || wasKnown || wasRetained {
-			applied = append(applied, e)
+		changed = true
+		if isTold && (!e.Removed || wasKnown || wasRetained) {
+			told = append(told, e)
 		}
 	}
 	c.at = max(c.at, at)
-	return applied
+	return told, changed
 }
 
 // current drops the changes of unknown objects that this copy must have known: these have been
@@ -336,7 +338,12 @@
 	last, wasKnown := c.objects[name]
 	c.dropTombstone(name)
 	if e.Removed {
-		if !wasKnown {
+		r, wasRetained := c.retained[name]
+		switch {
+		case wasRetained:
+			last = r.Object
+			delete(c.retained, name)
+		case !wasKnown:
 			last = e.Object
 		}
 		c.tombstones[name] = tombstone{last: last, at: e.Object.Revision}
@@ -426,6 +433,9 @@
 		if e, ok := c.event(entry); ok {
 			b.Events = append(b.Events, e)
 		}
+		if s, ok := c.retainedState(time.Now(), entry.name); ok {
+			b.Retained = append(b.Retained, s)
+		}
 	}
 	return b, true
 }
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -19,9 +19,9 @@
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
-// RestorePolicy decides what is retained of a collection when the store returns from an
-// older copy.
-type RestorePolicy interface {
+// RetentionPolicy decides what is retained of a collection when the store returns from an
+// older copy, or a write takes effect late.
+type RetentionPolicy interface {
 	// Supersedes reports whether state a of an object is newer than state b by what their
 	// writer says in them. Their revisions can't be compared.
 	Supersedes(kind platform.Collection, a, b platform.Object) bool
@@ -30,9 +30,13 @@
 	// Retention returns for how long the last known state of an object is retained if the
 	// store lacks it or, with removed, its removal if the store has an older state of it.
 	Retention(kind platform.Collection, o platform.Object, removed bool) time.Duration
+	// IsLate reports whether a state o that the store has last was written before the known state,
+	// after which the object may have been removed, and for how long the known state or the removal
+	// is retained over it; 0: until the object changes again. Both states are of one era.
+	IsLate(kind platform.Collection, known, o platform.Object, removed bool) (late bool, hold time.Duration)
 }
 
-// Retained is the state of an object before the store was restored.
+// Retained is the state of an object before the store was restored, or before a late write.
 type Retained struct {
 	platform.Event
 	Left time.Duration `cbor:"left,omitempty"` // for which it is retained; 0: until it is superseded
@@ -190,24 +194,6 @@
 	return true
 }
 
-// reveal returns those changes of the store that the sink is told: all but those of objects
-// of which a newer state is retained. The others end what was retained.
-func (c *collection) reveal(changes []platform.Event) []platform.Event {
-	if len(c.retained) == 0 {
-		return changes
-	}
-	var told []platform.Event
-	for _, e := range changes {
-		r, isRetained := c.retained[e.Object.Name]
-		if isRetained && !r.Removed && !e.Removed && c.policy.Supersedes(c.kind, r.Object, e.Object) {
-			continue
-		}
-		delete(c.retained, e.Object.Name)
-		told = append(told, e)
-	}
-	return told
-}
-
 // expire ends what has been retained for long enough, and returns the changes for the sink.
 func (c *collection) expire(now time.Time) []platform.Event {
 	var told []platform.Event
@@ -234,20 +220,20 @@
 	for _, s := range states {
 		name := s.Object.Name
 		o, exists := c.objects[name]
-		_, isRetained := c.retained[name]
+		own, isRetained := c.retained[name]
 		_, isRemoved := c.tombstones[name]
 		r := retained{Event: s.Event}
 		if s.Left > 0 {
 			r.until = now.Add(s.Left)
 		}
 		switch {
-		case isRetained || isRemoved || s.Left < 0:
+		case isRetained && !c.policy.Supersedes(c.kind, s.Object, own.Object), isRemoved, s.Left < 0:
 			continue
 		case s.Removed:
-			if !exists || !c.retainRemoval(now, s.Object, o) {
+			if !exists || !c.isLate(s, o) && !c.retainRemoval(now, s.Object, o) {
 				continue
 			}
-		case exists && !c.policy.Supersedes(c.kind, s.Object, o), !exists && s.Left == 0:
+		case exists && !c.policy.Supersedes(c.kind, s.Object, o) && !c.isLate(s, o), !exists && s.Left == 0:
 			continue
 		case held+len(s.Object.Spec) > maxRetainedBytes: // the own ones are at most a copy
 			continue
@@ -259,6 +245,12 @@
 	return told
 }
 
+// isLate reports whether a state of an object was written before one that another process retains.
+func (c *collection) isLate(s Retained, o platform.Object) bool {
+	late, _ := c.policy.IsLate(c.kind, s.Object, o, s.Removed)
+	return late
+}
+
 func (c *collection) retainedBytes() int {
 	sum := 0
 	for _, r := range c.retained {
@@ -286,19 +278,28 @@
 // retainedStates returns what is retained, for another process.
 func (c *collection) retainedStates(now time.Time) []Retained {
 	var all []Retained
-	for _, r := range c.retained {
-		s := Retained{Event: r.Event}
-		if !r.until.IsZero() {
-			if s.Left = r.until.Sub(now); s.Left <= 0 {
-				continue
-			}
+	for name := range c.retained {
+		if s, ok := c.retainedState(now, name); ok {
+			all = append(all, s)
 		}
-		all = append(all, s)
 	}
 	slices.SortFunc(all, func(a, b Retained) int { return compareEvents(a.Event, b.Event) })
 	return all
 }
 
+// retainedState returns what is retained of an object, for another process.
+func (c *collection) retainedState(now time.Time, name string) (Retained, bool) {
+	r, ok := c.retained[name]
+	if !ok {
+		return Retained{}, false
+	}
+	s := Retained{Event: r.Event}
+	if !r.until.IsZero() {
+		s.Left = r.until.Sub(now)
+	}
+	return s, r.until.IsZero() || s.Left > 0
+}
+
 // Tick ends what has been retained for long enough.
 func (m *Mirror) Tick(now time.Time) {
 	for kind, c := range m.collections {
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -25,6 +25,18 @@
 // policy retains objects that state a serial number, {"serial":N}, in the order of these.
 type policy struct{}
 
+// IsLate compares the versions of objects that state one, {"version":N}.
+func (policy) IsLate(_ platform.Collection, known, o platform.Object, removed bool) (late bool, hold time.Duration) {
+	before, after := versionOf(known), versionOf(o)
+	return after > 0 && (after < before || removed && after == before), 0
+}
+
+func versionOf(o platform.Object) int {
+	var spec struct{ Version int }
+	_ = json.Unmarshal(o.Spec, &spec) // other specs have none
+	return spec.Version
+}
+
 func serialOf(o platform.Object) int {
 	var spec struct{ Serial int }
 	_ = json.Unmarshal(o.Spec, &spec) // other specs have none
--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -17,6 +17,9 @@
 	// takeBackTime is how long an entry has to say ready after it said draining: a write from before
 	// may take effect late, and the endpoint's next heartbeat corrects it.
 	takeBackTime = 2 * time.Second
+	// returnTime is how long the registration of an endpoint has to stay after it was removed and is back
+	// under the same start. A late write expires without heartbeats after three intervals, 4.5 s.
+	returnTime = 6 * time.Second
 	// maxLeavingTold bounds the statements in a message, less than 25 bytes each.
 	maxLeavingTold = 64
 	// maxLeavingAge is the age of a statement beyond which it is of no use to others.
@@ -70,9 +73,12 @@
 	}
 }
 
-// leaves reports whether an endpoint gets no requests because it leaves. lastResort admits those
-// whose statement their entry contradicts.
+// leaves reports whether an endpoint gets no requests because it leaves, or has left and a late write
+// may have registered it again. lastResort admits those of which that is not certain.
 func (t *Table) leaves(now time.Time, s *endpointState, lastResort bool) bool {
+	if !lastResort && now.Before(s.unprovenTill) {
+		return true
+	}
 	return s.leaving.said && !s.leaving.isTakenBack(now) && !(lastResort && t.isContradicted(now, s))
 }
 
--- a/endpoint/statement.go
+++ b/endpoint/statement.go
@@ -26,11 +26,6 @@
 	pause   pause
 }
 
-// isEmpty reports whether the endpoint has said nothing.
-func (s *statements) isEmpty() bool {
-	return s.limit.at.IsZero() && s.leaving.at.IsZero() && s.pause.until.IsZero()
-}
-
 // The news of a start may be later than the first responses of the process, which then seem to be
 // those of the former one. Clocks of VMs differ, so a statement has to be newer than the start by a
 // margin; that of a pause may be negative, since a pause is short.
@@ -63,7 +58,8 @@
 // former holds the statements of an endpoint that was removed.
 type former struct {
 	*statements
-	at time.Time // of the removal
+	at       time.Time // of the removal
+	repaired bool      // its registration could not be read, which its next heartbeat mends
 }
 
 // formerStarts holds the statements of removed endpoints.
@@ -76,13 +72,13 @@
 // keepStatements keeps the statements of an endpoint that is removed. If its start is unknown, a
 // later entry may be that of another start, and nothing is kept.
 func (t *Table) keepStatements(now time.Time, s *endpointState) {
-	if s.Start.IsZero() || s.statements.isEmpty() {
+	if s.Start.IsZero() {
 		return
 	}
 	if len(t.former) >= maxFormer {
 		t.dropOldestFormer()
 	}
-	t.former[startOf(s.Endpoint)] = former{s.statements, now}
+	t.former[startOf(s.Endpoint)] = former{statements: s.statements, at: now}
 }
 
 func (t *Table) dropOldestFormer() {
@@ -96,13 +92,15 @@
 	delete(t.former, oldest)
 }
 
-// takeStatements returns what an endpoint that registers has said before.
-func (t *Table) takeStatements(e inventory.Endpoint) *statements {
-	if f, ok := t.former[startOf(e)]; ok {
-		delete(t.former, startOf(e))
-		return f.statements
+// takeStatements returns what an endpoint that registers has said before. returned states that its
+// registration of this start had been removed.
+func (t *Table) takeStatements(e inventory.Endpoint) (said *statements, returned bool) {
+	f, ok := t.former[startOf(e)]
+	if !ok {
+		return &statements{}, false
 	}
-	return &statements{}
+	delete(t.former, startOf(e))
+	return f.statements, !f.repaired
 }
 
 // dropFormer drops what has been kept for formerTime.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -96,6 +96,7 @@
 	health       health
 	warmup       warmup
 	missingSince time.Time // when its entry was removed from the store; zero: it was not
+	unprovenTill time.Time // its registration may be a late write until then
 	replaced     bool      // another endpoint uses its address
 }
 
@@ -146,7 +147,7 @@
 		former, s = s, nil
 	}
 	if s == nil {
-		s = t.add(e)
+		s = t.add(now, e)
 		if former != nil && former.Service == e.Service && former.Address == e.Address {
 			s.statements.inherit(former.statements, e.Start)
 		}
@@ -155,6 +156,9 @@
 	}
 	if s.Draining != e.Draining {
 		s.leaving.recordEntry(now, e.Draining)
+		if !e.Draining {
+			s.unprovenTill = now.Add(takeBackTime)
+		}
 	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
 	s.Endpoint = e
@@ -163,9 +167,13 @@
 	return changed
 }
 
-func (t *Table) add(e inventory.Endpoint) *endpointState {
+func (t *Table) add(now time.Time, e inventory.Endpoint) *endpointState {
 	p := t.pool(e.Service)
-	s := &endpointState{Endpoint: e, statements: t.takeStatements(e), hash: xxhash.Sum64String(string(e.ID)), pool: p}
+	said, returned := t.takeStatements(e)
+	s := &endpointState{Endpoint: e, statements: said, hash: xxhash.Sum64String(string(e.ID)), pool: p}
+	if returned {
+		s.unprovenTill = now.Add(returnTime)
+	}
 	t.byID[e.ID] = s
 	t.byHash[Hash(s.hash)] = s
 	i, _ := slices.BinarySearchFunc(p.endpoints, s, compareStates)
@@ -209,6 +217,22 @@
 	return false
 }
 
+// Malformed records that an endpoint's entry can't be read, and reports whether the endpoint was
+// removed from the table.
+func (t *Table) Malformed(now time.Time, id inventory.EndpointID) bool {
+	e, known := t.Endpoint(id)
+	if !known || !t.Removed(now, id) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f, ok := t.former[startOf(e)]; ok {
+		f.repaired = true
+		t.former[startOf(e)] = f
+	}
+	return true
+}
+
 // storeSettled reports whether the store has been reachable for long enough that its list
 // of entries is complete.
 func (t *Table) storeSettled(now time.Time) bool {
@@ -328,6 +352,7 @@
 	Requests     float64              `json:"busy"`               // from all nodes, estimated
 	Draining     bool                 `json:"draining,omitempty"` // by its entry
 	Leaving      float64              `json:"leaving,omitempty"`  // by its responses, for this many seconds
+	Unproven     float64              `json:"unproven,omitempty"` // its registration may be a late write: seconds left
 	Cold         bool                 `json:"cold,omitempty"`
 	Backoff      bool                 `json:"resting,omitempty"` // in backoff, since it was not reached
 	Replaced     bool                 `json:"replaced,omitempty"`
@@ -348,7 +373,7 @@
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Slots: s.Slots,
 			InFlight: s.inFlight, Requests: s.requests(now), Draining: s.Draining,
 			Cold: s.warmup.active(now), Backoff: !s.health.usable(now), Replaced: s.replaced,
-			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Noise: s.load.reportedSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(), Pause: max(0, s.pause.until.Sub(now).Seconds()),
+			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Noise: s.load.reportedSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(), Unproven: max(0, s.unprovenTill.Sub(now).Seconds()), Pause: max(0, s.pause.until.Sub(now).Seconds()),
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/node/follow.go
+++ b/node/follow.go
@@ -32,6 +32,7 @@
 	reachedSince   time.Time    // since when the store is reachable, directly or through an upstream node
 	lostSince      time.Time    // since when it is not; zero: it is reachable
 	era            platform.Era // of the copy, when it was last logged
+	lateWrites     uint64       // when they were last logged; used only by the ticks
 	configuredOnce sync.Once
 }
 
@@ -258,7 +259,9 @@
 	if err != nil {
 		n.metrics.increment("endpoint.malformed")
 		klog.InfoS("endpoint ignored", "endpoint", o.Name, "cause", err)
-		n.removeEndpoint(inventory.EndpointID(o.Name))
+		if known, ok := n.endpoints.Endpoint(inventory.EndpointID(o.Name)); ok && n.endpoints.Malformed(time.Now(), known.ID) {
+			n.forgetEndpoint(known, "entry malformed")
+		}
 		return e, false
 	}
 	changed = n.endpoints.Register(time.Now(), e)
--- a/node/node.go
+++ b/node/node.go
@@ -320,6 +320,7 @@
 		n.sending.discardEncoded(now)
 		n.quarantine.Tick(now)
 		n.checkEra()
+		n.checkLateWrites()
 		n.permits.Tick(now)
 		n.tickQuotas()
 		n.pool.CloseExpired(now)
--- a/node/peers.go
+++ b/node/peers.go
@@ -58,6 +58,7 @@
 	records    uint64 // position in the log of quarantines
 	suspicions uint64 // position in the log of suspicions
 	greeted    bool   // whether it has received the first update
+	lateWrites uint64 // as of the last update
 	limiter    *rate.Limiter
 	transfer   *transfer                    // of a large change; nil: none
 	whole      map[platform.Collection]bool // collections of which it has been sent whole objects
@@ -165,10 +166,12 @@
 	if err := n.addChanges(time.Now(), to, &m); err != nil {
 		return err
 	}
-	if !to.greeted { // a node that starts after a restore has only what the store has
-		m.Batches = append(m.Batches, n.mirror.Retained(time.Now())...)
-		to.greeted = true
+	count, retained := n.mirror.LateWrites(time.Now(), to.lateWrites)
+	if !to.greeted { // a node that starts has only what the store has
+		retained = n.mirror.Retained(time.Now())
 	}
+	m.Batches = append(m.Batches, retained...)
+	to.greeted, to.lateWrites = true, count
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return err
--- a/node/restore.go
+++ b/node/restore.go
@@ -43,11 +43,11 @@
 	entryCheckInterval = 250 * time.Millisecond
 )
 
-// restorePolicy implements discovery.RestorePolicy by what the objects say themselves.
+// restorePolicy implements discovery.RetentionPolicy by what the objects say themselves.
 type restorePolicy struct{}
 
-// Supersedes compares the versions of configurations, the starts of nodes and endpoints, and
-// the states of endpoints: one that drains does so until it ends.
+// Supersedes compares the versions of configurations, the starts of nodes, and the registrations of
+// endpoints.
 func (restorePolicy) Supersedes(kind platform.Collection, a, b platform.Object) bool {
 	switch kind {
 	case platform.Configurations:
@@ -77,18 +77,6 @@
 	return afterErr == nil && (err != nil || after.Version > before.Version)
 }
 
-func supersedesEndpoint(a, b platform.Object) bool {
-	before, err := platform.DecodeEndpoint(b)
-	after, afterErr := platform.DecodeEndpoint(a)
-	if err != nil || afterErr != nil {
-		return false
-	}
-	if !after.Start.Equal(before.Start) {
-		return after.Start.After(before.Start)
-	}
-	return after.Draining && !before.Draining
-}
-
 func supersedesEntry(a, b platform.Object) bool {
 	var before, after member.Entry
 	if json.Unmarshal(a.Spec, &after) != nil || json.Unmarshal(b.Spec, &before) != nil {
