exchange: connections of requests that were given up are reset

Cause: Pool.release closed the connection in order, so the kernel went on sending what had been written until the cut was over.

A connection whose last request was written completely and answered is closed in order, as before.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -219,7 +219,7 @@
 // roundTrip writes a request and reads its response. reusable states whether the
 // connection may carry another request.
 func (c *conn) roundTrip(names HeaderNames, r Request) (response Response, reusable bool, err error) {
-	c.output.sent = 0
+	c.output.sent, c.answered = 0, false
 	written := make(chan error, 1)
 	hasBody := r.Body.Reader != nil && r.Body.Length != 0
 	if hasBody {
@@ -253,6 +253,7 @@
 		failed.Signals = readSignals(names, resp)
 		return Response{}, false, failed
 	}
+	c.answered = complete && writeErr == nil
 	identified := r.ID != "" // otherwise a late second copy of the response would match the next such request
 	reusable = complete && writeErr == nil && identified && !stray && !resp.Close && c.buffered() == 0 && c.isReusable(resp)
 	response = Response{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body, Signals: readSignals(names, resp), Reused: c.uses > 0}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -57,6 +57,34 @@
 	return d.Dialer.DialContext(ctx, network, address)
 }
 
+// ResetDialer is a dialer whose connections are reset when they are closed, also by the end of the
+// process. After an ordinary close the kernel goes on sending what was written: a request that was given
+// up would arrive when its path is open again, seconds later.
+type ResetDialer struct{ Dialer }
+
+// DialContext opens a connection.
+func (d ResetDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := setLinger(c, 0); err != nil {
+		_ = c.Close() // nothing was sent
+		return nil, err
+	}
+	return c, nil
+}
+
+// setLinger sets what the kernel does at Close with bytes that are not sent: discard them after 0
+// seconds, or send them, if negative.
+func setLinger(c net.Conn, seconds int) error {
+	l, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return nil
+	}
+	return l.SetLinger(seconds)
+}
+
 // Options configures a Pool.
 type Options struct {
 	HeaderNames HeaderNames
@@ -151,6 +179,7 @@
 	fields     fieldBuffer
 	dialTime   time.Duration // time to open the connection
 	uses       int
+	answered   bool // the last request was written completely and has its response
 	lastUsed   time.Time     // end of the last exchange
 	idleTime   time.Duration // before the current exchange
 	maxIdle    time.Duration // after which the connection is closed
@@ -263,9 +292,18 @@
 	return p.stats
 }
 
+// close closes a connection. An endpoint that has all it was sent sees an ordinary end; otherwise the
+// connection is reset.
+func (c *conn) close() {
+	if c.answered || c.uses == 0 && c.output.sent == 0 {
+		_ = setLinger(c.Conn, -1) // fails only if the connection has failed
+	}
+	_ = c.Close()
+}
+
 func closeAll(conns []*conn) {
 	for _, c := range conns {
-		_ = c.Close()
+		c.close()
 	}
 }
 
@@ -360,7 +398,7 @@
 		limit = min(limit, r.DialTimeout)
 	}
 	began := time.Now()
-	raw, err := TimeoutDialer{p.dialer, limit}.DialContext(ctx, "tcp", r.Address)
+	raw, err := TimeoutDialer{ResetDialer{p.dialer}, limit}.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		p.freeSlot(set)
 		kind := KindUnreachable
@@ -395,7 +433,7 @@
 func (p *Pool) release(c *conn, reusable bool) {
 	c.returnMemory()
 	if !reusable || !p.keepIdle(c) {
-		_ = c.Close()
+		c.close()
 		p.freeSlot(c.set)
 	}
 }
--- a/node/permits.go
+++ b/node/permits.go
@@ -44,7 +44,7 @@
 
 // newPeerClient returns the client for requests to other nodes.
 func newPeerClient(network Network) *http.Client {
-	dialer := exchange.TimeoutDialer{Dialer: network, Timeout: permit.Lifetime}
+	dialer := exchange.TimeoutDialer{Dialer: exchange.ResetDialer{Dialer: network}, Timeout: permit.Lifetime}
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: exchange.MaxHeadSize, MaxIdleConns: maxPermitConns, IdleConnTimeout: permitIdleTime}}
 }
 
