quota: issuers that start count what others may have issued

Cause: an issuer that starts knows nothing of what the processes before it issued. It began with an empty bucket, but issued the whole rate, although the burst and more had been issued just before. The bound in the package comment held for one issuer of six that starts, not for all.

A new issuer now counts the most that may have been issued for its share in the last window, and each part of that leaves the window in its time.

The other tests of quota, and those of node for limits, pass unchanged.

--- a/quota/claim.go
+++ b/quota/claim.go
@@ -62,7 +62,7 @@
 	if !roster.Includes(after, t.self) || roster.Includes(before, t.self) {
 		return
 	}
-	o.bucket = bucket{at: now, made: now}
+	o.bucket = t.inherited(now, o)
 	replaced := slices.DeleteFunc(slices.Clone(before), func(p roster.Peer) bool { return roster.Includes(after, p.ID) })
 	if len(replaced) == 0 { // there are more issuers than before, each with a smaller share
 		replaced = before
@@ -107,7 +107,11 @@
 	for id, c := range t.claims {
 		if c.isSettled(now, "") {
 			delete(t.claims, id)
-			t.organisations[id].bucket = bucket{at: now, made: now}
+			o := t.organisations[id]
+			o.bucket = bucket{at: now, made: now}
+			if c.until.IsZero() { // otherwise a window has passed
+				o.bucket = t.inherited(now, o)
+			}
 		}
 	}
 }
--- a/quota/issue.go
+++ b/quota/issue.go
@@ -98,10 +98,44 @@
 	return evenFactor * o.burst / t.bounds.Window.Seconds() / float64(max(1, len(t.issuers(o))))
 }
 
-// left returns the number of tokens that an issuer may still issue in the current window.
+// left returns the number of tokens that an issuer may still issue in the current window. One that counts
+// what others may have issued at most, which they hardly did, has more of the excess.
 func (t *Table) left(now time.Time, o *organisation) float64 {
-	most := windowFactor*(o.rate*t.bounds.Window.Seconds()+o.burst) + extraSlack*t.bounds.Slack
-	return most/float64(max(1, len(t.issuers(o)))) - o.issued.sum(now, t.bounds.Window)
+	factor := windowFactor
+	if now.Sub(o.made) < t.bounds.Window {
+		factor = max(factor, 1+paceExcess*t.bounds.Excess)
+	}
+	return t.most(o, factor) - o.issued.sum(now, t.bounds.Window)
+}
+
+// most returns the number of tokens that an issuer may issue in a window, for a multiple of the limit.
+func (t *Table) most(o *organisation, factor float64) float64 {
+	all := factor*(o.rate*t.bounds.Window.Seconds()+o.burst) + extraSlack*t.bounds.Slack
+	return all / float64(max(1, len(t.issuers(o))))
+}
+
+// inherited returns the bucket of a share that another process has issued until now. It is empty, and
+// counts the most that the other may have issued in each part of the window: the burst at the end, and
+// before that the rate and what is due of a burst that is issued evenly.
+func (t *Table) inherited(now time.Time, o *organisation) bucket {
+	b := bucket{at: now, made: now}
+	issuers := float64(max(1, len(t.issuers(o))))
+	part := t.bounds.Window / usageParts
+	pace := t.share(o)*part.Seconds() + evenFactor*o.burst/issuers/usageParts
+	left := t.most(o, windowFactor)
+	var counts [usageParts]float64 // of the parts before now
+	for i := range counts {
+		count := pace
+		if i == 0 {
+			count += t.depth(o)
+		}
+		counts[i] = min(count, left)
+		left -= counts[i]
+	}
+	for i := len(counts) - 1; i >= 0; i-- {
+		b.issued.add(now.Add(-time.Duration(i)*part), t.bounds.Window, counts[i])
+	}
+	return b
 }
 
 // Issue issues up to count tokens for requests of an organisation.
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -30,7 +30,8 @@
 	tick         = 250 * time.Millisecond
 	maxLag       = 3 * time.Second // until a node has a changed list or limit
 	downTime     = 2 * time.Second
-	maxFailures  = 2 // issuers that one request asks in vain
+	restartTime  = 100 * time.Millisecond // until all nodes are back after they were killed at once
+	maxFailures  = 2                      // issuers that one request asks in vain
 	organisation = inventory.OrganisationID("o")
 )
 
@@ -45,6 +46,7 @@
 	stops       int           // nodes that leave the list, stop, and join again
 	freezes     int           // nodes that are frozen for downTime
 	uncounted   bool          // the clocks of nodes don't count freezes
+	restart     time.Duration // when all nodes are killed and start again; 0: never
 	issuers     bool          // kills, stops and freezes concern issuers
 	cut         float64       // share of the nodes that reach only each other, and get no list, in the middle half
 	added       float64       // share of nodes added in the second quarter
@@ -253,6 +255,12 @@
 		}
 		victims = append(first, victims...)
 	}
+	for n := range sim.nodes {
+		if sim.restart > 0 {
+			sim.events.At(epoch.Add(sim.restart), func(time.Time) { sim.running[n].downUntil = sim.restart + restartTime })
+			sim.events.At(epoch.Add(sim.restart+restartTime), func(now time.Time) { sim.start(now, n) })
+		}
+	}
 	count := sim.kills + sim.stops + sim.freezes
 	for i := range count {
 		n := victims[i]
@@ -444,3 +452,29 @@
 		}
 	}
 }
+
+// TestLimitIsKeptWhenAllNodesStart guards against issuers that issue the whole rate after a kill of all
+// nodes, although the former ones have used up the burst just before.
+func TestLimitIsKeptWhenAllNodesStart(t *testing.T) {
+	sizes := map[string]struct{ rate, burst float64 }{
+		"burst of a third": {90, 30}, "equal": {100, 100}, "large, equal": {800, 800}, "small": {3, 9},
+		"twice": {100, 200}, "three times": {100, 300}, "large, three times": {800, 2400}, "ten times": {40, 400}, "no burst": {100, 0},
+	}
+	const quiet = 10 * time.Second
+	for name, size := range sizes {
+		for _, nodes := range []int{3, 10, 60} {
+			t.Run(fmt.Sprint(name, " ", nodes, " nodes"), func(t *testing.T) {
+				convey.Convey("In any window, whenever they are killed, and the limit is used after that", t, func() {
+					for _, after := range []time.Duration{200 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+						s := simulation{nodes: nodes, rate: size.rate, burst: size.burst, demand: 4.6, pulse: quiet, restart: quiet + after, duration: 2 * quiet}
+						s.run(1)
+						t.Log(after, &s)
+						convey.So(s.worst(), convey.ShouldBeLessThanOrEqualTo, 0)
+						last := sort.Search(len(s.sent), func(i int) bool { return s.sent[i] >= 2*quiet-time.Second })
+						convey.So(float64(len(s.sent)-last), convey.ShouldBeGreaterThan, 0.5*size.rate-2)
+					}
+				})
+			})
+		}
+	}
+}
