endpoint: the end of a drain applies to endpoints and nodes that come later

Cause: the end of a drain was applied to the endpoints known then. One whose entry had expired in an outage and was back 0.8 s later counted as warm, and so did all at nodes that started 1.0 and 2.1 s after the end.

A node remembers the end of each drain, applies it to endpoints that register later, and tells it to others with the news of endpoints.

TestEndpointsOfUndrainedDomainStayCold failed in 3 of 6 cases with the two uses removed, and passes.

--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -48,6 +48,8 @@
 	Limits   []LimitReport   `cbor:"limits,omitempty"`
 	Leaving  []LeavingReport `cbor:"leaving,omitempty"`
 	Noise    []NoiseReport   `cbor:"noise,omitempty"`
+	// Undrained holds failure domains of which the drain has ended lately.
+	Undrained []UndrainReport `cbor:"undrained,omitempty"`
 }
 
 // Replica is an endpoint other than an object's primary one that has the object cached.
@@ -70,7 +72,7 @@
 type Hash uint64
 
 // GossipPosition is what a node has been told of another one's log. The zero value: nothing.
-type GossipPosition struct{ replicas, reports, limits, leaving, noise uint64 }
+type GossipPosition struct{ replicas, reports, limits, leaving, noise, undrained uint64 }
 
 // replicaLog holds the latest replicas that a node has learned of.
 type replicaLog struct {
@@ -148,6 +150,7 @@
 	g.Limits, after.limits = t.limitsSince(now, after.limits)
 	g.Leaving, after.leaving = t.leavingSince(now, after.leaving)
 	g.Noise, after.noise = t.noiseSince(now, after.noise)
+	g.Undrained, after.undrained = t.undrainsSince(now, after.undrained)
 	return g, after
 }
 
@@ -196,6 +199,9 @@
 	for _, r := range g.Noise[:min(len(g.Noise), maxNoiseTold)] {
 		t.learnNoise(now, r)
 	}
+	for _, r := range g.Undrained[:min(len(g.Undrained), maxUndrainsTold)] {
+		t.learnUndrain(now, r)
+	}
 	for _, r := range g.Leaving[:min(len(g.Leaving), maxLeavingTold)] {
 		t.learnLeaving(now, r)
 	}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -53,6 +53,7 @@
 	byHash         map[Hash]*endpointState
 	services       map[inventory.ServiceID]*pool
 	drained        map[inventory.DomainID]bool
+	undrained      undrains
 	serviceTimes   map[inventory.RouteID]*serviceTimes
 	coldSenders    ColdSenders
 	local          LocalDomain
@@ -112,6 +113,7 @@
 		serviceTimes: map[inventory.RouteID]*serviceTimes{},
 		roundTrips:   map[inventory.DomainID]time.Duration{},
 		former:       formerStarts{},
+		undrained:    undrains{at: map[inventory.DomainID]time.Time{}},
 		reports:      reportLog{changed: make(chan struct{})},
 	}
 }
@@ -174,6 +176,9 @@
 	if returned {
 		s.unprovenTill = now.Add(returnTime)
 	}
+	if at, ok := t.undrained.at[e.Domain]; ok { // it may have expired when the drain ended
+		s.warmup.assumeRestart(at, p.service.Warmup.Duration)
+	}
 	t.byID[e.ID] = s
 	t.byHash[Hash(s.hash)] = s
 	i, _ := slices.BinarySearchFunc(p.endpoints, s, compareStates)
@@ -308,12 +313,10 @@
 		}
 	}
 	t.drained = next
-	for _, s := range t.byID {
-		if slices.Contains(undrained, s.Domain) {
-			s.warmup.assumeRestart(now, s.pool.service.Warmup.Duration)
-		}
-	}
 	slices.Sort(undrained)
+	for _, d := range undrained {
+		t.recordUndrain(now, d)
+	}
 	return undrained
 }
 
--- a/endpoint/warmup_test.go
+++ b/endpoint/warmup_test.go
@@ -95,6 +95,79 @@
 	})
 }
 
+// TestEndpointsOfUndrainedDomainStayCold guards against endpoints of a failure domain whose drain has just
+// ended that count as warm, since they register later, or at a node that starts later.
+func TestEndpointsOfUndrainedDomainStayCold(t *testing.T) {
+	const domain = "d0-1"
+	topo := topology{1, 2, 1, 6}
+	drain := func(table *Table, from, to time.Time) {
+		table.SetDrained(from, []inventory.DomainID{domain})
+		table.SetDrained(to, nil)
+	}
+	cases := map[string]struct {
+		table func() *Table
+		at    time.Time
+		cold  bool
+	}{
+		"registered again after the drain": {cold: true, at: at(1), table: func() *Table {
+			table := topo.table()
+			table.SetDrained(at(-5), []inventory.DomainID{domain})
+			table.Removed(at(-1), topo.endpoint(0, 1, 0).ID)
+			table.SetDrained(at(0), nil)
+			table.Register(at(1), topo.endpoint(0, 1, 0))
+			return table
+		}},
+		"registered long after the drain": {at: at(60), table: func() *Table {
+			table := topo.table()
+			table.Removed(at(-1), topo.endpoint(0, 1, 0).ID)
+			drain(table, at(-5), at(0))
+			table.Register(at(60), topo.endpoint(0, 1, 0))
+			return table
+		}},
+		"the node started after the drain": {cold: true, at: at(1), table: func() *Table {
+			other := topo.table()
+			drain(other, at(-5), at(0))
+			table := topo.table()
+			told, _ := other.GossipSince(at(1), GossipPosition{})
+			table.Learn(at(1), told)
+			return table
+		}},
+		"it heard of the drain from a node that started, too": {cold: true, at: at(1.5), table: func() *Table {
+			others := []*Table{topo.table(), topo.table(), topo.table()}
+			drain(others[0], at(-5), at(0))
+			for i := range 2 {
+				told, _ := others[i].GossipSince(at(1), GossipPosition{})
+				others[i+1].Learn(at(1), told)
+			}
+			return others[2]
+		}},
+		"it has heard of the drain for long": {at: at(30), table: func() *Table {
+			other := topo.table()
+			drain(other, at(-5), at(0))
+			table := topo.table()
+			for i := range 30 {
+				told, _ := other.GossipSince(at(float64(i)), GossipPosition{})
+				table.Learn(at(float64(i)), told)
+			}
+			return table
+		}},
+		"an age from the future": {at: at(1), table: func() *Table {
+			table := topo.table()
+			table.Learn(at(1), Gossip{Undrained: []UndrainReport{{Domain: domain, Age: -100_000}}})
+			return table
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Only the endpoints of the domain, while they may be cold", t, func() {
+				for _, s := range c.table().Status(c.at) {
+					convey.So(s.Cold, convey.ShouldEqual, c.cold && s.Domain == domain)
+				}
+			})
+		})
+	}
+}
+
 func TestRestartWithSameIDIsCold(t *testing.T) {
 	convey.Convey("The state from before the restart is discarded", t, func() {
 		table := topology{1, 1, 1, 6}.table()
