discovery: a node that is behind another one catches up while the store is away

Cause: the store went away 0.3 s after a version had reached one node. A node without the store receives changes only from one that reaches it, so it stayed behind until the store was back.

While neither reaches the store, a node that is behind now receives the changes from a neighbour whose heartbeat says that it has more. It still counts as one without the store.

Tests of node, discovery, exchange, quota and cmd pass.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -430,10 +430,12 @@
 		if entry.revision <= p.At {
 			continue
 		}
-		if e, ok := c.event(entry); ok {
-			b.Events = append(b.Events, e)
+		e, ok := c.event(entry)
+		if !ok {
+			continue
 		}
-		if s, ok := c.retainedState(time.Now(), entry.name); ok {
+		b.Events = append(b.Events, e)
+		if s, isRetained := c.retainedState(time.Now(), entry.name); isRetained {
 			b.Retained = append(b.Retained, s)
 		}
 	}
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -14,7 +14,9 @@
 //
 // The store may also reject some processes and respond to others. A process that
 // cannot reach the store therefore receives the changes from any process that can,
-// preferably one of its own domain, and keeps retrying the store meanwhile.
+// preferably one of its own domain, and keeps retrying the store meanwhile. If there is none, the
+// processes may have got different changes before the store went away: one that is behind receives those
+// that it lacks from one that is ahead, which does not make it up to date.
 //
 // A process that starts reads the store until its copy is complete, because the
 // processes that it would follow may be starting too. If it cannot reach the store
@@ -76,6 +78,7 @@
 	readUntil        time.Time                             // until when this process reads the store regardless of others
 	unreachableSince time.Time                             // since when it reads without reaching the store; zero: it reaches it, or does not read
 	fallback         inventory.EntryID                     // upstream process while this one does not reach the store; "": none
+	ahead            inventory.EntryID                     // see Plan.Ahead
 }
 
 // heartbeat is the last message of a process.
@@ -246,6 +249,7 @@
 type Plan struct {
 	Upstream     inventory.EntryID // process that it receives the changes from; "": none
 	Reads        bool              // it reads the store itself
+	Ahead        inventory.EntryID // process that has changes which this one lacks, while neither reaches the store; "": none
 	ContactSeeds bool              // its copy is incomplete and the store is unreachable: it also connects to the seeds
 	Refresh      bool              // it reads the store and has missed a change: it requests everything again
 }
@@ -264,6 +268,9 @@
 	switch {
 	case p.Reads && !reaches:
 		p.Upstream = r.selectFallback(now)
+		if p.Upstream == "" && r.isUnreachableFor(now, fallbackDelay) {
+			p.Ahead = r.selectAhead(now, own)
+		}
 		p.ContactSeeds = !complete && r.isUnreachableFor(now, startupFallbackDelay)
 	case reaches || complete:
 		r.unreachableSince, r.fallback = time.Time{}, ""
@@ -320,6 +327,28 @@
 	return r.fallback
 }
 
+// selectAhead returns a process that has changes which this one lacks. The current one is kept while it
+// has some.
+func (r *Relay) selectAhead(now time.Time, own []Position) inventory.EntryID {
+	if hb, ok := r.heartbeats[r.ahead]; ok && hb.isAhead(now, own) {
+		return r.ahead
+	}
+	r.ahead = ""
+	for id, hb := range r.heartbeats {
+		if hb.isAhead(now, own) && (r.ahead == "" || r.compareFallbacks(id, r.ahead) < 0) {
+			r.ahead = id
+		}
+	}
+	return r.ahead
+}
+
+// isAhead reports whether a valid heartbeat names a change that is missing at one of the positions.
+func (hb heartbeat) isAhead(now time.Time, own []Position) bool {
+	return now.Sub(hb.at) <= heartbeatTTL && slices.ContainsFunc(hb.positions, func(p Position) bool {
+		return p.At > 0 && p.isAhead(newestOf(own, p.Kind))
+	})
+}
+
 // isFallback reports whether a process qualifies as a fallback: it reads the store,
 // reaches it, and its heartbeat is valid.
 func (r *Relay) isFallback(now time.Time, id inventory.EntryID) bool {
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -61,11 +61,18 @@
 			r.RecordHeartbeat(epoch, order[0].ID, discovery.HopsNone, at(5))
 			r.RecordHeartbeat(epoch, order[1].ID, discovery.HopsReader, at(5))
 		}, 0, discovery.Plan{Upstream: order[1].ID}},
-		"a successor reads":                        {2, false, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[3].ID, discovery.HopsReader, at(5)) }, 0, discovery.Plan{Reads: true}},
-		"one of another domain reads":              {2, false, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, "other", discovery.HopsReader, at(5)) }, 0, discovery.Plan{Reads: true}},
-		"unreachable, no heartbeats":               {0, true, func(*discovery.Relay) {}, 0, discovery.Plan{Reads: true}},
-		"unreachable, a successor reads":           {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsReader, at(5)) }, 0, discovery.Plan{Upstream: order[2].ID, Reads: true}},
-		"unreachable, successor not up to date":    {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsNone, at(5)) }, 0, discovery.Plan{Reads: true}},
+		"a successor reads":                     {2, false, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[3].ID, discovery.HopsReader, at(5)) }, 0, discovery.Plan{Reads: true}},
+		"one of another domain reads":           {2, false, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, "other", discovery.HopsReader, at(5)) }, 0, discovery.Plan{Reads: true}},
+		"unreachable, no heartbeats":            {0, true, func(*discovery.Relay) {}, 0, discovery.Plan{Reads: true}},
+		"unreachable, a successor reads":        {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsReader, at(5)) }, 0, discovery.Plan{Upstream: order[2].ID, Reads: true}},
+		"unreachable, successor not up to date": {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsNone, at(5)) }, 0, discovery.Plan{Reads: true}},
+		"unreachable, one without it is ahead":  {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsNone, at(6)) }, 0, discovery.Plan{Reads: true, Ahead: order[2].ID}},
+		"unreachable, one ahead has timed out":  {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsNone, at(6)) }, 1100 * time.Millisecond, discovery.Plan{Reads: true}},
+		"unreachable, one ahead and one that reads": {0, true, func(r *discovery.Relay) {
+			r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsNone, at(6))
+			r.RecordHeartbeat(epoch, order[3].ID, discovery.HopsReader, at(5))
+		}, 0, discovery.Plan{Upstream: order[3].ID, Reads: true}},
+		"reachable, one without it is ahead":       {0, false, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsNone, at(6)) }, 0, discovery.Plan{Reads: true}},
 		"unreachable, successor timed out":         {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, order[2].ID, discovery.HopsReader, at(5)) }, 1100 * time.Millisecond, discovery.Plan{Reads: true}},
 		"unreachable, one of another domain reads": {0, true, func(r *discovery.Relay) { r.RecordHeartbeat(epoch, "other", discovery.HopsReader, at(9)) }, 0, discovery.Plan{Upstream: "other", Reads: true}},
 		"unreachable, own domain preferred": {0, true, func(r *discovery.Relay) {
--- a/endpoint/statement.go
+++ b/endpoint/statement.go
@@ -58,8 +58,8 @@
 // former holds the statements of an endpoint that was removed.
 type former struct {
 	*statements
-	at       time.Time // of the removal
-	repaired bool      // its registration could not be read, which its next heartbeat mends
+	at        time.Time // of the removal
+	malformed bool      // since its registration could not be read, which its next heartbeat repairs
 }
 
 // formerStarts holds the statements of removed endpoints.
@@ -100,7 +100,7 @@
 		return &statements{}, false
 	}
 	delete(t.former, startOf(e))
-	return f.statements, !f.repaired
+	return f.statements, !f.malformed
 }
 
 // dropFormer drops what has been kept for formerTime.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -232,7 +232,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if f, ok := t.former[startOf(e)]; ok {
-		f.repaired = true
+		f.malformed = true
 		t.former[startOf(e)] = f
 	}
 	return true
--- a/exchange/receiving.go
+++ b/exchange/receiving.go
@@ -42,13 +42,6 @@
 	return &Receiving{limit: limit}
 }
 
-// Bytes returns what is held now.
-func (r *Receiving) Bytes() int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.held
-}
-
 // exchangeMemory is what one exchange holds.
 type exchangeMemory struct {
 	allowance int64 // that is left
--- a/node/late.go
+++ b/node/late.go
@@ -21,7 +21,7 @@
 // IsLate compares the registrations of endpoints. The numbers of heartbeats within one start only
 // grow, so a smaller one is late however long it stays there. Configurations, which are long, are
 // compared when they are put in force; a node writes its own entry again if it finds another one.
-func (restorePolicy) IsLate(kind platform.Collection, known, o platform.Object, removed bool) (late bool, hold time.Duration) {
+func (retentionPolicy) IsLate(kind platform.Collection, known, o platform.Object, removed bool) (late bool, hold time.Duration) {
 	if kind != platform.Endpoints {
 		return false, 0
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -217,7 +217,7 @@
 	n.storeState = newStoreState()
 	n.freshness = freshness.New(s.Bounds.proofLimit())
 	followed := []platform.Collection{platform.Configurations, platform.Endpoints, platform.Drains, platform.Entries}
-	n.mirror = discovery.NewMirror(n, restorePolicy{}, followed...)
+	n.mirror = discovery.NewMirror(n, retentionPolicy{}, followed...)
 	n.follower = discovery.New(n.store, n.mirror, n, platform.Drains, followed...)
 	n.follower.ObserveProofs(platform.Configurations, storeProofs{n})
 	n.relay = discovery.NewRelay(discovery.Peer{ID: s.ID, Domain: s.Domain, Link: s.VM.link()})
--- a/node/peers.go
+++ b/node/peers.go
@@ -243,8 +243,8 @@
 	if plan.Upstream != "" {
 		n.setStoreReached(true, "by", plan.Upstream)
 	}
-	if plan.Upstream != last.Upstream || plan.Reads != last.Reads || plan.ContactSeeds != last.ContactSeeds {
-		klog.InfoS("store", "reads", plan.Reads, "feed", plan.Upstream, "starts", plan.ContactSeeds)
+	if plan.Upstream != last.Upstream || plan.Reads != last.Reads || plan.ContactSeeds != last.ContactSeeds || plan.Ahead != last.Ahead {
+		klog.InfoS("store", "reads", plan.Reads, "feed", plan.Upstream, "ahead", plan.Ahead, "starts", plan.ContactSeeds)
 	}
 }
 
@@ -274,7 +274,7 @@
 	for _, e := range n.members.List() {
 		isNeighbour := slices.ContainsFunc(neighbours, func(other member.Entry) bool { return other.ID == e.ID })
 		if isNeighbour || slices.Contains(candidates, e.ID) {
-			all = append(all, subscription{entry: e, feed: e.ID == plan.Upstream})
+			all = append(all, subscription{entry: e, feed: e.ID == plan.Upstream || e.ID == plan.Ahead})
 		}
 	}
 	return all
--- a/node/restore.go
+++ b/node/restore.go
@@ -43,12 +43,12 @@
 	entryCheckInterval = 250 * time.Millisecond
 )
 
-// restorePolicy implements discovery.RetentionPolicy by what the objects say themselves.
-type restorePolicy struct{}
+// retentionPolicy implements discovery.RetentionPolicy by what the objects say themselves.
+type retentionPolicy struct{}
 
 // Supersedes compares the versions of configurations, the starts of nodes, and the registrations of
 // endpoints.
-func (restorePolicy) Supersedes(kind platform.Collection, a, b platform.Object) bool {
+func (retentionPolicy) Supersedes(kind platform.Collection, a, b platform.Object) bool {
 	switch kind {
 	case platform.Configurations:
 		return supersedesConfiguration(a, b)
@@ -61,7 +61,7 @@
 }
 
 // Same compares what the objects mean: an endpoint's entry also counts its heartbeats.
-func (restorePolicy) Same(kind platform.Collection, a, b platform.Object) bool {
+func (retentionPolicy) Same(kind platform.Collection, a, b platform.Object) bool {
 	if kind != platform.Endpoints || bytes.Equal(a.Spec, b.Spec) {
 		return bytes.Equal(a.Spec, b.Spec)
 	}
@@ -88,7 +88,7 @@
 // Retention returns how long the last known state, or the removal, of an object is retained.
 // The removal of a drain is not: the operators, who removed it, remove it again, and until
 // then other failure domains serve.
-func (restorePolicy) Retention(kind platform.Collection, o platform.Object, removed bool) time.Duration {
+func (retentionPolicy) Retention(kind platform.Collection, o platform.Object, removed bool) time.Duration {
 	switch {
 	case kind == platform.Configurations:
 		return configurationRetention
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -28,8 +28,8 @@
 //     sends that late: such requests count here.
 //   - An issuer that starts, or has been given a share, knows nothing of what was issued before, and all
 //     may start at once. It begins with an empty bucket, issues R only for W, and counts the most that
-//     may have been issued in the last W: B at the end, R and 1.25 B / W before that, up to 1.04 (R W + B)
-//   - 0.3 S. Up to 1 + 0.75 E times the limit of a window is issued meanwhile, in place of 1.04. With
+//     may have been issued in the last W: B at the end, R and 1.25 B / W before that, as far as an issuer
+//     issues in a window. Meanwhile the limit of a window counts 1 + 0.75 E times in place of 1.04. With
 //     B = R it issues 0.2 R in the first 0.8 s, and then R.
 //   - A retry and a forwarded request are not charged again. A charge that is given back since nothing
 //     was sent may be used within its lifetime only, so it never counts in a later window.
