--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -76,7 +76,7 @@
 // leaves reports whether an endpoint gets no requests because it leaves, or has left and a late write
 // may have registered it again. lastResort admits those of which that is not certain.
 func (t *Table) leaves(now time.Time, s *endpointState, lastResort bool) bool {
-	if !lastResort && now.Before(s.unprovenTill) {
+	if !lastResort && now.Before(s.unconfirmedUntil) {
 		return true
 	}
 	return s.leaving.said && !s.leaving.isTakenBack(now) && !(lastResort && t.isContradicted(now, s))
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -90,15 +90,15 @@
 	hash uint64
 	pool *pool
 
-	inFlight     int
-	isolating    int       // requests of this node in flight that may crash the endpoint
-	pending      []pending // requests of this node in flight
-	load         load
-	health       health
-	warmup       warmup
-	missingSince time.Time // when its entry was removed from the store; zero: it was not
-	unprovenTill time.Time // its registration may be a late write until then
-	replaced     bool      // another endpoint uses its address
+	inFlight         int
+	isolating        int       // requests of this node in flight that may crash the endpoint
+	pending          []pending // requests of this node in flight
+	load             load
+	health           health
+	warmup           warmup
+	missingSince     time.Time // when its entry was removed from the store; zero: it was not
+	unconfirmedUntil time.Time // its registration may be a late write until then
+	replaced         bool      // another endpoint uses its address
 }
 
 // New returns an empty table.
@@ -159,7 +159,7 @@
 	if s.Draining != e.Draining {
 		s.leaving.recordEntry(now, e.Draining)
 		if !e.Draining {
-			s.unprovenTill = now.Add(takeBackTime)
+			s.unconfirmedUntil = now.Add(takeBackTime)
 		}
 	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
@@ -174,7 +174,7 @@
 	said, returned := t.takeStatements(e)
 	s := &endpointState{Endpoint: e, statements: said, hash: xxhash.Sum64String(string(e.ID)), pool: p}
 	if returned {
-		s.unprovenTill = now.Add(returnTime)
+		s.unconfirmedUntil = now.Add(returnTime)
 	}
 	if at, ok := t.undrained.at[e.Domain]; ok { // it may have expired when the drain ended
 		s.warmup.assumeRestart(at, p.service.Warmup.Duration)
@@ -351,11 +351,11 @@
 	Service      inventory.ServiceID  `json:"service"`
 	Domain       inventory.DomainID   `json:"domain"`
 	Slots        int                  `json:"slots"`
-	InFlight     int                  `json:"inflight"`           // from this node
-	Requests     float64              `json:"busy"`               // from all nodes, estimated
-	Draining     bool                 `json:"draining,omitempty"` // by its entry
-	Leaving      float64              `json:"leaving,omitempty"`  // by its responses, for this many seconds
-	Unproven     float64              `json:"unproven,omitempty"` // its registration may be a late write: seconds left
+	InFlight     int                  `json:"inflight"`              // from this node
+	Requests     float64              `json:"busy"`                  // from all nodes, estimated
+	Draining     bool                 `json:"draining,omitempty"`    // by its entry
+	Leaving      float64              `json:"leaving,omitempty"`     // by its responses, for this many seconds
+	Unconfirmed  float64              `json:"unconfirmed,omitempty"` // its registration may be a late write: seconds left
 	Cold         bool                 `json:"cold,omitempty"`
 	Backoff      bool                 `json:"resting,omitempty"` // in backoff, since it was not reached
 	Replaced     bool                 `json:"replaced,omitempty"`
@@ -376,7 +376,7 @@
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Slots: s.Slots,
 			InFlight: s.inFlight, Requests: s.requests(now), Draining: s.Draining,
 			Cold: s.warmup.active(now), Backoff: !s.health.usable(now), Replaced: s.replaced,
-			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Noise: s.load.reportedSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(), Unproven: max(0, s.unprovenTill.Sub(now).Seconds()), Pause: max(0, s.pause.until.Sub(now).Seconds()),
+			FailureScore: s.health.currentFailureScore(now), Slowdown: s.health.currentSlowdown(now), Noise: s.load.reportedSlowdown(now), Limit: s.limit.named(), Leaving: s.leaving.duration(now).Seconds(), Unconfirmed: max(0, s.unconfirmedUntil.Sub(now).Seconds()), Pause: max(0, s.pause.until.Sub(now).Seconds()),
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
