quota: only a node that starts counts what its former process may have issued

A share that a running node takes over waits for the former issuer, which confirms, or for a window; their bound held before. The count is for the node's own former process, at a start and after a pause.

--- a/quota/claim.go
+++ b/quota/claim.go
@@ -38,8 +38,8 @@
 	return !now.Before(c.until)
 }
 
-// claimAll claims all shares of this node, which does not know what was issued before. Those that
-// would be issuers without it may not know it yet.
+// claimAll claims all shares of this node, which does not know what it has issued itself, before a start or
+// while it was paused. Those that would be issuers without it may not know it yet.
 func (t *Table) claimAll(now time.Time) {
 	if !t.configured || t.roster.Len() == 0 {
 		return
@@ -53,6 +53,7 @@
 			others = t.roster.Without(t.self)
 		}
 		t.claimShare(now, o, others.Choose(o.key, o.places))
+		o.issued = t.inherited(now, o)
 	}
 }
 
@@ -62,7 +63,7 @@
 	if !roster.Includes(after, t.self) || roster.Includes(before, t.self) {
 		return
 	}
-	o.bucket = t.inherited(now, o)
+	o.bucket = bucket{at: now, made: now}
 	replaced := slices.DeleteFunc(slices.Clone(before), func(p roster.Peer) bool { return roster.Includes(after, p.ID) })
 	if len(replaced) == 0 { // there are more issuers than before, each with a smaller share
 		replaced = before
@@ -108,10 +109,7 @@
 		if c.isSettled(now, "") {
 			delete(t.claims, id)
 			o := t.organisations[id]
-			o.bucket = bucket{at: now, made: now}
-			if c.until.IsZero() { // otherwise a window has passed
-				o.bucket = t.inherited(now, o)
-			}
+			o.bucket = bucket{at: now, made: now, issued: o.issued}
 		}
 	}
 }
--- a/quota/issue.go
+++ b/quota/issue.go
@@ -99,7 +99,7 @@
 }
 
 // left returns the number of tokens that an issuer may still issue in the current window. One that counts
-// what others may have issued at most, which they hardly did, has more of the excess.
+// what a former process may have issued at most, which it hardly did, has more of the excess.
 func (t *Table) left(now time.Time, o *organisation) float64 {
 	factor := windowFactor
 	if now.Sub(o.made) < t.bounds.Window {
@@ -114,11 +114,10 @@
 	return all / float64(max(1, len(t.issuers(o))))
 }
 
-// inherited returns the bucket of a share that another process has issued until now. It is empty, and
-// counts the most that the other may have issued in each part of the window: the burst at the end, and
-// before that the rate and what is due of a burst that is issued evenly.
-func (t *Table) inherited(now time.Time, o *organisation) bucket {
-	b := bucket{at: now, made: now}
+// inherited returns the most that a former process of this node may have issued of its share, in each part
+// of the window until now: the burst at the end, and before that the rate and what is due of a burst that is
+// issued evenly. All issuers may start at once.
+func (t *Table) inherited(now time.Time, o *organisation) (issued usage) {
 	issuers := float64(max(1, len(t.issuers(o))))
 	part := t.bounds.Window / usageParts
 	pace := t.share(o)*part.Seconds() + evenFactor*o.burst/issuers/usageParts
@@ -133,9 +132,9 @@
 		left -= counts[i]
 	}
 	for i := len(counts) - 1; i >= 0; i-- {
-		b.issued.add(now.Add(-time.Duration(i)*part), t.bounds.Window, counts[i])
+		issued.add(now.Add(-time.Duration(i)*part), t.bounds.Window, counts[i])
 	}
-	return b
+	return issued
 }
 
 // Issue issues up to count tokens for requests of an organisation.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -26,11 +26,14 @@
 //   - What is left of 6.6 R + 20, 0.2 R + 6, is for requests that take longer than others from their
 //     charge to their endpoint. A node that is frozen between the charge and the write of a request
 //     sends that late: such requests count here.
-//   - An issuer that starts, or has been given a share, knows nothing of what was issued before, and all
-//     may start at once. It begins with an empty bucket, issues R only for W, and counts the most that
-//     may have been issued in the last W: B at the end, R and 1.25 B / W before that, as far as an issuer
-//     issues in a window. Meanwhile the limit of a window counts 1 + 0.75 E times in place of 1.04. With
-//     B = R it issues 0.2 R in the first 0.8 s, and then R.
+//   - An issuer that starts, or was paused, doesn't know what it issued before, and all may start at
+//     once. It begins with an empty bucket, issues R only for W, and counts the most that it may have
+//     issued in the last W: B at the end, R and 1.25 B / W before that, as far as an issuer issues in a
+//     window. Meanwhile the limit of a window counts 1 + 0.75 E times in place of 1.04. With B = R it
+//     issues 0.2 R in the first 0.8 s, and then R.
+//   - An issuer that has been given the share of another one begins with an empty bucket and issues R
+//     only for W: with what the other issued before, B stored and 1.25 B / W for a while, a window has at
+//     most 0.83 B more than R W + B of that share.
 //   - A retry and a forwarded request are not charged again. A charge that is given back since nothing
 //     was sent may be used within its lifetime only, so it never counts in a later window.
 //
