--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -179,7 +179,7 @@
 	fields     fieldBuffer
 	dialTime   time.Duration // time to open the connection
 	uses       int
-	answered   bool // the last request was written completely and has its response
+	answered   bool          // the last request was written completely and has its response
 	lastUsed   time.Time     // end of the last exchange
 	idleTime   time.Duration // before the current exchange
 	maxIdle    time.Duration // after which the connection is closed
