review: an endpoint's own 503 after a run reaches the client as the promise that it has not run

An endpoint runs a booking, fails and answers 503 without Not-Executed; the node returns this 503, and the client repeats the booking, which runs twice. The node forwards every status of a response that does not state 'not run'.

--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -21,6 +21,7 @@
 	Status    int
 	Signature string
 	Body      string
+	Close     bool
 	Err       error
 }
 
@@ -77,5 +78,5 @@
 	if err != nil {
 		return answer{Err: err}
 	}
-	return answer{Status: resp.StatusCode, Signature: resp.Header.Get("Response-Signature"), Body: string(data)}
+	return answer{Status: resp.StatusCode, Close: resp.Close, Signature: resp.Header.Get("Response-Signature"), Body: string(data)}
 }
