review: case 13, a crowd that reads slowly makes a process exceed its memory

What callers see: the machine's process is killed, and the requests of all its callers end with it.

Cause, as far as known: a response is counted while it is received and again once it waits for its caller, but not between the two, and the lock of the second count is held while all connections are sorted; 194 handlers waited for it with a response each.

--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -46,8 +47,8 @@
 region = "euskadi"
 [vm]
 share = 0.32
-memory = 284
-descriptors = 4100
+memory = %[8]d
+descriptors = %[9]d
 link = 1000.0
 [hedge]
 share = 0
@@ -74,16 +75,21 @@
 	dir   string
 	store *store
 	nodes []*node
+
+	memory, descriptors int // of each machine: MB, and their number
+
+	mu      sync.Mutex // starts and ends of processes
+	isEnded bool
 }
 
 // node is a process of the system.
 type node struct {
 	name   string
+	file   string // its settings
 	front  string
 	ready  string
 	cmd    *exec.Cmd
 	exited chan struct{}
-	once   sync.Once
 }
 
 func newDeployment(r *recorder) (*deployment, error) {
@@ -92,11 +98,14 @@
 		return nil, err
 	}
 	s, err := newStore()
-	return &deployment{recorder: r, dir: dir, store: s}, err
+	return &deployment{recorder: r, dir: dir, store: s, memory: 284, descriptors: 4100}, err
 }
 
 // end ends all processes that were started.
 func (d *deployment) end() {
+	d.mu.Lock()
+	d.isEnded = true
+	d.mu.Unlock()
 	for _, n := range d.nodes {
 		n.kill()
 	}
@@ -139,33 +148,55 @@
 		ports = append(ports, a)
 	}
 	file := filepath.Join(d.dir, name+".toml")
-	args := append([]any{name}, append(ports, d.store.address())...)
+	args := append([]any{name}, append(ports, d.store.address(), d.memory, d.descriptors)...)
 	if err := os.WriteFile(file, []byte(fmt.Sprintf(template, args...)), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(d.dir, name+".log"))
+	n := &node{name: name, file: file, front: ports[0].(string), ready: ports[2].(string)}
+	return n, d.run(n)
+}
+
+// run starts a node's process, which must have ended if there was one, and waits until it is ready.
+func (d *deployment) run(n *node) error {
+	log, err := os.OpenFile(filepath.Join(d.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	n := &node{name: name, front: ports[0].(string), ready: ports[2].(string), exited: make(chan struct{})}
-	n.cmd = exec.Command("target/wasabiwheel", "node", "--settings", file)
-	n.cmd.Stdout, n.cmd.Stderr = log, log
-	if err := n.cmd.Start(); err != nil {
-		return nil, err
+	cmd := exec.Command("target/wasabiwheel", "node", "--settings", n.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := d.launch(n, cmd); err != nil {
+		return err
 	}
-	go func() {
-		_ = n.cmd.Wait()
-		close(n.exited)
-	}()
-	d.nodes = append(d.nodes, n)
 	for range 100 {
 		if n.isReady() {
-			return n, nil
+			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return nil, fmt.Errorf("%s is not ready after 10 s", name)
+	return fmt.Errorf("%s is not ready after 10 s", n.name)
+}
+
+// launch starts a node's process, unless the deployment has ended.
+func (d *deployment) launch(n *node, cmd *exec.Cmd) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isEnded {
+		return os.ErrClosed
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	n.cmd, n.exited = cmd, exited
+	if !slices.Contains(d.nodes, n) {
+		d.nodes = append(d.nodes, n)
+	}
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
 }
 
 func (n *node) isReady() bool {
@@ -180,12 +211,11 @@
 
 func (n *node) signal(s syscall.Signal) { _ = n.cmd.Process.Signal(s) } // it may have ended
 
+// kill ends the node's process, if it runs.
 func (n *node) kill() {
-	n.once.Do(func() {
-		n.signal(syscall.SIGCONT)
-		n.signal(syscall.SIGKILL)
-		<-n.exited
-	})
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	<-n.exited
 }
 
 // command runs a command of the operators' and returns what it prints.
--- a/review/stand3/endpoint.go
+++ b/review/stand3/endpoint.go
@@ -66,6 +66,13 @@
 	return e, nil
 }
 
+// setSlots sets how many requests the endpoint runs at once.
+func (e *endpoint) setSlots(slots int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slots = slots
+}
+
 // register writes the endpoint's entry.
 func (e *endpoint) register() {
 	e.mu.Lock()
