exchange: a status that means "not run" counts only with a statement of the endpoint

Callers got 503 for requests that had run: an endpoint ran a request, failed at its end and responded with 503.

Cause: checkResponse took every response without the statement for the endpoint's own, and its status went to the caller whatever it promises. The node's log has these requests with the outcome "ran" and the status 503. The same holds for 429 and 408, which also counted as served, and for a 503 that a node of an earlier build passes on. The reverse was believed as well: a success, a 500 or a 504 with the statement was sent elsewhere, also if the request may run only once.

Such responses are now failures of the kind "conflicting": the request may have run. What may run once only is not repeated, the rest within the budget; in the end callers get a 502 of the node's own with the outcome "unknown", and the log has both statuses. A response of another node is told from one of an endpoint by its outcome; a forwarded request that can't be read gets one, too. The callers' library takes these statuses without an outcome for unknown. The connection is reused as before. Pauses stay as they are: the users' bound counts each 503 with Retry-After.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -253,7 +253,7 @@
 		return Reply{}, err
 	}
 	r := Reply{Status: resp.StatusCode, Header: resp.Header, Body: data, Entry: address, RequestID: id}
-	r.readOutcome(resp.Header)
+	r.readOutcome()
 	return r, nil
 }
 
@@ -302,15 +302,20 @@
 }
 
 // readOutcome reads the outcome headers that nodes set. A response without them comes
-// from an endpoint, so the request ran.
-func (r *Reply) readOutcome(h http.Header) {
-	r.Outcome = Outcome(h.Get(HeaderOutcome))
-	if r.Outcome == "" {
+// from an endpoint, so the request ran; behind a status that means that it did not, nobody has stated
+// that.
+func (r *Reply) readOutcome() {
+	r.Outcome = Outcome(r.Header.Get(HeaderOutcome))
+	switch {
+	case r.Outcome == "" && exchange.MeansNotRun(r.Status):
+		r.Outcome, r.Reason = OutcomeUnknown, Reason(exchange.KindConflicting)
+		return
+	case r.Outcome == "":
 		r.Outcome = OutcomeRan
 		return
 	}
-	r.Reason = Reason(h.Get(HeaderReason))
-	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && seconds >= 0 && seconds < maxRetryAfter {
+	r.Reason = Reason(r.Header.Get(HeaderReason))
+	if seconds, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil && seconds >= 0 && seconds < maxRetryAfter {
 		r.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 }
--- a/caller/response_test.go
+++ b/caller/response_test.go
@@ -94,10 +94,37 @@
 	for text, want := range map[string]float64{"0.25": 0.25, "-1": 0, "NaN": 0, "Inf": 0, "1e300": 0, "soon": 0} {
 		t.Run(text, func(t *testing.T) {
 			convey.Convey("They count as none", t, func() {
-				r := Reply{}
-				r.readOutcome(http.Header{HeaderOutcome: {string(OutcomeNotRun)}, "Retry-After": {text}})
+				r := Reply{Header: http.Header{HeaderOutcome: {string(OutcomeNotRun)}, "Retry-After": {text}}}
+				r.readOutcome()
 				convey.So(r.RetryAfter.Seconds(), convey.ShouldEqual, want)
 			})
 		})
 	}
 }
+
+// TestOutcomeOfReplies guards against a status that means "not run" of which no node says so.
+func TestOutcomeOfReplies(t *testing.T) {
+	cases := map[string]struct {
+		response string
+		want     Outcome
+	}{
+		"endpoint":            {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", OutcomeRan},
+		"endpoint's failure":  {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", OutcomeRan},
+		"408 of nobody":       {"HTTP/1.1 408 Late\r\nContent-Length: 0\r\n\r\n", OutcomeUnknown},
+		"421 of nobody":       {"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", OutcomeUnknown},
+		"429 of nobody":       {"HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n", OutcomeUnknown},
+		"503 of nobody":       {"HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", OutcomeUnknown},
+		"503 of a node":       {"HTTP/1.1 503 Busy\r\nWasabiwheel-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", OutcomeNotRun},
+		"502 of a node":       {"HTTP/1.1 502 Bad\r\nWasabiwheel-Outcome: unknown\r\nContent-Length: 0\r\n\r\n", OutcomeUnknown},
+		"endpoint's redirect": {"HTTP/1.1 304 Same\r\n\r\n", OutcomeRan},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("It is unknown", t, func() {
+				r, err := New(Options{}).CallAt(t.Context(), newScriptedEntry(t, c.response), Operation{Method: http.MethodPost, Path: "/a", Body: []byte("x")})
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(r.Outcome, convey.ShouldEqual, c.want)
+			})
+		})
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,7 @@
 	Endpoint  string // the endpoint that a request is meant for
 	Signature string // proof that a response comes from the endpoint itself
 	NotRun    string // set by an endpoint that did not run a request
+	Outcome   string // set by a node on responses of its own; "": the receivers are no nodes
 	Load      string // running and waiting requests and slots of an endpoint
 	Limit     string // requests a second that an endpoint takes from all nodes together
 	Leaving   string // set to 1 by an endpoint that is about to end
@@ -89,18 +90,19 @@
 
 // The kinds of failure.
 const (
-	KindUnreachable Kind = "unreached"  // no connection could be opened; nothing was sent
-	KindConnLimit   Kind = "full"       // all connections to the endpoint are in use; nothing was sent
-	KindWithdrawn   Kind = "withdrawn"  // MaySend did not allow it, or the time was up; nothing was sent
-	KindUnsent      Kind = "unsent"     // the connection failed before anything was sent
-	KindShed        Kind = "shed"       // the endpoint rejected the request without running it
-	KindMisdirected Kind = "misplaced"  // another endpoint has the address and did not run the request
-	KindBroken      Kind = "broken"     // the connection failed or the response is invalid; the request may have run
-	KindTimeout     Kind = "timeout"    // no complete response in time; the request may have run
-	KindCanceled    Kind = "unanswered" // the caller canceled the request; it may have run
-	KindAbandoned   Kind = "abandoned"  // the node gave up the exchange; the request may have run
-	KindUnsigned    Kind = "unsigned"   // a success response without a signature; the request may have run
-	KindCallerBody  Kind = "caller"     // the caller's body could not be read completely; the request may have run
+	KindUnreachable Kind = "unreached"   // no connection could be opened; nothing was sent
+	KindConnLimit   Kind = "full"        // all connections to the endpoint are in use; nothing was sent
+	KindWithdrawn   Kind = "withdrawn"   // MaySend did not allow it, or the time was up; nothing was sent
+	KindUnsent      Kind = "unsent"      // the connection failed before anything was sent
+	KindShed        Kind = "shed"        // the endpoint rejected the request without running it
+	KindMisdirected Kind = "misplaced"   // another endpoint has the address and did not run the request
+	KindBroken      Kind = "broken"      // the connection failed or the response is invalid; the request may have run
+	KindTimeout     Kind = "timeout"     // no complete response in time; the request may have run
+	KindCanceled    Kind = "unanswered"  // the caller canceled the request; it may have run
+	KindAbandoned   Kind = "abandoned"   // the node gave up the exchange; the request may have run
+	KindUnsigned    Kind = "unsigned"    // a success response without a signature; the request may have run
+	KindConflicting Kind = "conflicting" // status and header disagree on whether the request ran; it may have run
+	KindCallerBody  Kind = "caller"      // the caller's body could not be read completely; the request may have run
 )
 
 // Error reports why a request got no valid response, and the state of its connection.
@@ -184,7 +186,8 @@
 	stop := context.AfterFunc(ctx, c.interrupt)
 	resp, reusable, err := c.roundTrip(p.headerNames, r)
 	interrupted := !stop()
-	p.release(c, reusable && err == nil && !interrupted)
+	isSound := err == nil || isKind(err, KindConflicting)
+	p.release(c, reusable && isSound && !interrupted)
 	// A caller that has gone needs no further attempt, also if nothing had been sent.
 	gone := errors.Is(context.Cause(ctx), context.Canceled) && isKind(err, KindUnsent)
 	if gone || err != nil && ctx.Err() != nil && !isKind(err, KindCallerBody) && !NotRun(err) {
@@ -284,19 +287,41 @@
 }
 
 // checkResponse returns an error if the response states that the endpoint did not
-// run the request, or if a success is not signed.
+// run the request, if it leaves open whether the endpoint did, or if a success is not signed.
 func (c *conn) checkResponse(names HeaderNames, resp Response) *Error {
+	statesNotRun := resp.Header.Get(names.NotRun) != ""
 	switch {
+	case isUnsigned(names, resp.Status, resp.Header):
+		return c.newError("answer", KindUnsigned, nil)
+	case names.Outcome != "" && resp.Header.Get(names.Outcome) != "":
+		return nil // a node has decided
 	case resp.Status == http.StatusMisdirectedRequest:
 		return c.newError("answer", KindMisdirected, nil)
-	case resp.Header.Get(names.NotRun) != "" && resp.Status != http.StatusBadRequest:
+	case statesNotRun && meansRun(resp.Status):
+		return c.newError("answer", KindConflicting, fmt.Errorf("status %d with %s", resp.Status, names.NotRun))
+	case statesNotRun && resp.Status != http.StatusBadRequest:
 		return c.newError("answer", KindShed, nil)
-	case isUnsigned(names, resp.Status, resp.Header):
-		return c.newError("answer", KindUnsigned, nil)
+	case MeansNotRun(resp.Status):
+		return c.newError("answer", KindConflicting, fmt.Errorf("status %d without %s", resp.Status, names.NotRun))
 	}
 	return nil
 }
 
+// MeansNotRun reports whether callers take a status for the promise that the request did not run and
+// will not run.
+func MeansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// meansRun reports whether an endpoint responds with a status only to requests that it ran.
+func meansRun(status int) bool {
+	return status/100 == 2 || status == http.StatusInternalServerError || status == http.StatusGatewayTimeout
+}
+
 var errRequestBody = errors.New("request body of the caller ended early")
 
 // writeRequest writes a request.
--- a/node/forward.go
+++ b/node/forward.go
@@ -46,6 +46,8 @@
 	ReasonCutOff caller.Reason = "cutoff" // neither this node nor another that could be asked reaches an endpoint
 	ReasonBusy   caller.Reason = "busy"   // the node has no room for requests of others
 	ReasonBehind caller.Reason = "behind" // the node has an older configuration than the one that asks
+
+	ReasonMalformed caller.Reason = "malformed" // the node can't read what the one that asks says of the request
 )
 
 // forwardedRequest is what a node says of a request that it forwards.
@@ -223,6 +225,8 @@
 		return forwarded{cutOffResponse(req), reach.Unavail, isUnsent(failed.Kind)}
 	case failed != nil && failed.Kind == exchange.KindTimeout:
 		return forwarded{unknown(failed.Kind), reach.Silent, false}
+	case failed != nil && failed.Kind == exchange.KindConflicting: // of an endpoint, passed on by an old build
+		return forwarded{unknown(failed.Kind), reach.Helped, false}
 	case failed != nil:
 		return forwarded{unknown(failed.Kind), reach.Unavail, false}
 	}
@@ -245,7 +249,7 @@
 	switch resp.reason {
 	case ReasonBehind, ReasonRoute, ReasonUnproven: // it gets the configuration within a moment
 		return reach.Busy
-	case ReasonCutOff, ReasonBusy, ReasonStarting, ReasonLeaving:
+	case ReasonCutOff, ReasonBusy, ReasonStarting, ReasonLeaving, ReasonMalformed:
 		return reach.Unavail
 	case caller.Reason(exchange.KindUnreachable), caller.Reason(endpoint.ReasonBackoff):
 		return reach.NoEndpoint
--- a/node/forward_test.go
+++ b/node/forward_test.go
@@ -259,7 +259,9 @@
 				convey.So(err, convey.ShouldBeNil)
 				_ = resp.Body.Close()
 				convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusBadRequest)
+				convey.So(resp.Header.Get(caller.HeaderOutcome), convey.ShouldEqual, string(caller.OutcomeNotRun)) // else it would pass for an endpoint's
 			}
+			convey.So(helpOf(rejected(ReasonMalformed, http.StatusBadRequest)), convey.ShouldEqual, reach.Unavail)
 			convey.So(h.counter("n1", "forward.malformed"), convey.ShouldEqual, len(texts))
 			convey.Convey("One of a newer configuration is rejected as not run", func() {
 				req, err := http.NewRequestWithContext(h.t.Context(), http.MethodGet, "http://"+h.entry("n1").Peer+"/get/x", nil)
--- a/node/forwarded.go
+++ b/node/forwarded.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/wasabiwheel/wasabiwheel/caller"
 	"github.com/wasabiwheel/wasabiwheel/reach"
 )
@@ -22,7 +24,9 @@
 	from, err := parseForwarded(r.Header.Get(headerForward))
 	if err != nil {
 		n.metrics.increment("forward.malformed")
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		klog.InfoS("forwarded request rejected", "request", r.Header.Get(n.headerNames.Request), "cause", err)
+		w.Header().Set(n.headerNames.Request, r.Header.Get(n.headerNames.Request))
+		n.writeResponse(w, rejected(ReasonMalformed, http.StatusBadRequest))
 		return
 	}
 	from.charged = r.Header.Get(headerCharged) != ""
--- a/node/hedge_test.go
+++ b/node/hedge_test.go
@@ -75,6 +75,7 @@
 		"the retry budget is used":      {share: "1", path: "/get/x", change: func(h *harness) { h.spendRetries() }, counts: map[string]int64{"denied.budget": 1}, runs: 1, longest: 550 * time.Millisecond},
 		"capacity is short":             {share: "1", path: "/get/x", change: func(h *harness) { h.fillEndpoints() }, counts: map[string]int64{"denied.short": 1}, runs: 1, longest: 550 * time.Millisecond},
 		"the other one fails":           {share: "1", path: "/get/x", change: func(h *harness) { h.failOthers(standin.Behaviour{DropAnswer: true, Slots: 3}) }, counts: map[string]int64{"sent": 1}, runs: 2, longest: 550 * time.Millisecond},
+		"the other one fails with 429":  {share: "1", path: "/get/x", change: func(h *harness) { h.failOthers(standin.Behaviour{Fail: 1, FailStatus: 429, Slots: 3}) }, counts: map[string]int64{"sent": 1}, runs: 2, longest: 550 * time.Millisecond},
 		"the other one rejects":         {share: "1", path: "/get/x", change: func(h *harness) { h.failOthers(standin.Behaviour{Shed: true, Slots: 3}) }, counts: map[string]int64{"sent": 1}, runs: 1, longest: 550 * time.Millisecond},
 		"the other one is slow as well": {share: "1", path: "/get/x", change: func(h *harness) { h.failOthers(standin.Behaviour{Work: time.Second, Slots: 3}) }, counts: map[string]int64{"sent": 1}, runs: 2, longest: 550 * time.Millisecond, abandoned: 1},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 
 	"github.com/wasabiwheel/wasabiwheel/admission"
 	"github.com/wasabiwheel/wasabiwheel/budget"
+	"github.com/wasabiwheel/wasabiwheel/caller"
 	"github.com/wasabiwheel/wasabiwheel/discovery"
 	"github.com/wasabiwheel/wasabiwheel/endpoint"
 	"github.com/wasabiwheel/wasabiwheel/exchange"
@@ -213,7 +214,9 @@
 	n.reach = reach.New(now)
 	n.attempts.waiting = map[reach.Attempt]context.CancelCauseFunc{}
 	n.forwarders = reach.NewForwarders(reach.Node{ID: s.ID, Domain: s.Domain, Region: s.region()})
-	n.forwardPool = exchange.New(exchange.Options{HeaderNames: n.headerNames, Dialer: n.network, Receiving: receiving})
+	betweenNodes := n.headerNames
+	betweenNodes.Outcome = caller.HeaderOutcome
+	n.forwardPool = exchange.New(exchange.Options{HeaderNames: betweenNodes, Dialer: n.network, Receiving: receiving})
 	n.storeState = newStoreState()
 	n.freshness = freshness.New(s.Bounds.proofLimit())
 	followed := []platform.Collection{platform.Configurations, platform.Endpoints, platform.Drains, platform.Entries}
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -139,6 +139,7 @@
 						resp := h.send(h.t.Context(), h.inv.Entries[i%4].ID, testRequest{method: c.method, path: c.path})
 						convey.So(resp.err, convey.ShouldBeNil)
 						convey.So(h.runCount(resp.id), convey.ShouldBeLessThanOrEqualTo, c.runs)
+						h.checkPromise(resp)
 						if resp.outcome == caller.OutcomeNotRun {
 							convey.So(h.runCount(resp.id), convey.ShouldEqual, 0)
 							continue
@@ -379,6 +380,9 @@
 		"truncated body": {Truncate: true},
 		"response lost":  {DropAnswer: true},
 		"failure":        {Fail: 1},
+		"status 408":     {Fail: 1, FailStatus: http.StatusRequestTimeout},
+		"status 429":     {Fail: 1, FailStatus: http.StatusTooManyRequests},
+		"status 503":     {Fail: 1, FailStatus: http.StatusServiceUnavailable},
 		"not HTTP":       {Raw: "nonsense\r\n\r\n"},
 	}
 	for name, first := range cases {
@@ -395,6 +399,7 @@
 							resp := h.send(h.t.Context(), h.inv.Entries[i%4].ID, testRequest{object: fmt.Sprint(i)})
 							convey.So(resp.err, convey.ShouldBeNil)
 							outcomes[resp.outcome]++
+							h.checkPromise(resp)
 							if resp.outcome == caller.OutcomeNotRun {
 								convey.So(h.runCount(resp.id), convey.ShouldEqual, 0)
 							}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/caller"
+	"github.com/wasabiwheel/wasabiwheel/exchange"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/node"
 )
@@ -324,11 +325,11 @@
 	case err != nil:
 		c.Totals.Unanswered++
 		c.checkLoss(now, r, err)
-	case reply.Outcome == caller.OutcomeNotRun:
+	case reply.Outcome == caller.OutcomeNotRun || exchange.MeansNotRun(reply.Status):
 		c.Totals.Refused++
 		c.refused[id] = true
 		if r.runs > 0 {
-			c.addViolation(now, "refused", "request %s ran and was answered not-run (%s)", id, reply.Reason)
+			c.addViolation(now, "refused", "request %s ran and was answered not-run (%d, %s)", id, reply.Status, reply.Reason)
 		}
 	case reply.Outcome == caller.OutcomeUnknown:
 		c.Totals.Unknown++
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -177,6 +177,7 @@
 		"idempotent request runs twice":  {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere)}, ""},
 		"three attempts":                 {[]step{served(1, "a", "browse", here), ran(1.2, "a", elsewhere), ran(1.3, "a", here)}, "attempts"},
 		"refused after it ran":           {[]step{served(1, "a", "book", elsewhere), answered(1.1, "a", refused)}, "refused"},
+		"503 of nobody after it ran":     {[]step{served(1, "a", "browse", elsewhere), answered(1.1, "a", caller.Reply{Outcome: caller.OutcomeUnknown, Status: 503})}, "refused"},
 		"runs after it was refused":      {[]step{sent(1, "a", "book"), answered(1.1, "a", refused), ran(1.5, "a", elsewhere)}, "refused"},
 		"request of no caller":           {[]step{func(c *soak.Checker) { c.RecordArrival(at(1), "a", here) }}, "unasked"},
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/configuration"
@@ -23,6 +24,10 @@
 	expiryDivisor  = 3                      // one in this many entries expires while the store is unavailable
 )
 
+// greyStatuses are the statuses of requests that ran and failed. Callers take most of them for the promise that a
+// request has not run.
+var greyStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
 // inject applies the fault of one event and reverts it at its end.
 func (h *harness) inject(e Event) {
 	switch e.Fault {
@@ -98,7 +103,7 @@
 		b.SlowFactor = slowFactor
 		endpoint.applyBehaviour(b, e.For)
 	case FaultGrey:
-		b.Fail = greyFailShare
+		b.Fail, b.FailStatus = greyFailShare, greyStatuses[e.Variant%len(greyStatuses)]
 		endpoint.applyBehaviour(b, e.For)
 	case FaultBadAnswer:
 		behaviour := answerFaults[e.Variant%len(answerFaults)]
--- a/standin/target.go
+++ b/standin/target.go
@@ -3,6 +3,7 @@
 // The endpoint of a target, which counts the requests that it runs.
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,7 +42,9 @@
 	Trailing     string  `json:"late"`     // sent after an answer, with {id} replaced by the id of the request; then the connection is closed
 	NoLength     bool    `json:"unframed"` // send the answer without a length
 	Shed         bool    `json:"shed"`     // refuse requests and report that they did not run
-	Fail         float64 `json:"fail"`     // share of requests that are answered with 500
+	Fail         float64 `json:"fail"`     // share of requests that are answered with FailStatus
+	FailStatus   int     `json:"status"`   // 0: 500
+	FailHeader   string  `json:"header"`   // header field of these answers, such as "Retry-After: 1"; "": none
 	Unsigned     bool    `json:"unsigned"` // omit the signature
 	ReportNoLoad bool    `json:"mislead"`  // always report a load of 0
 	Limit        string  `json:"limit"`    // requests a second that are named as the limit; "": none
@@ -403,6 +406,14 @@
 	return b.Fail > 0 && t.random.Float64() < b.Fail
 }
 
+// writeFailure answers a request that ran, and failed.
+func writeFailure(w http.ResponseWriter, b Behaviour) {
+	if name, value, ok := strings.Cut(b.FailHeader, ":"); ok {
+		w.Header().Set(name, strings.TrimSpace(value))
+	}
+	w.WriteHeader(cmp.Or(b.FailStatus, http.StatusInternalServerError))
+}
+
 // writeState adds to an answer what the target says of itself: whether it leaves, its limit and
 // its load.
 func (t *Target) writeState(w http.ResponseWriter, id string, b Behaviour) {
@@ -452,7 +463,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if t.drawFailure(b) {
-		w.WriteHeader(http.StatusInternalServerError)
+		writeFailure(w, b)
 		return
 	}
 	if b.Trailing != "" || b.NoLength {
