configuration: remove a drain only if it is the one that was read

The store had not answered the end of an earlier drain and executed it 5 s later; by then the failure domain had been drained again, and the late removal took the second drain back.

Cause: Undrain removed whatever had the name, and a later attempt that succeeded hid that an earlier one was outstanding.

A removal now names the revision that was read, so one that takes effect late finds another object and does nothing. Draining a failure domain again changes its object: otherwise the command would report success for an object that an outstanding removal is about to take. Undrain fails with "lost" if another operator drained meanwhile. A node's deletion of its entry and its writes have the same condition: late ones hit the entry of the node's next process.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -13,7 +13,9 @@
 // numbers, so that it is higher than each of them.
 //
 // Each accepted file is stored as a release, so that it can be published again.
-// Drains are separate objects and persist across versions.
+// Drains are separate objects and persist across versions. A drain is removed on the condition that
+// it is the one that was read, and draining again changes it: so a removal that takes effect
+// late never ends a drain that was confirmed after it.
 //
 // # Usage
 //
@@ -55,9 +57,10 @@
 type Store interface {
 	List(ctx context.Context, kind platform.Collection) (platform.Listing, error)
 	Get(ctx context.Context, kind platform.Collection, name string) (platform.Written, error)
+	Find(ctx context.Context, kind platform.Collection, name string) (platform.Written, error)
 	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Written, error)
 	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Written, error)
-	Delete(ctx context.Context, kind platform.Collection, name string) error
+	Delete(ctx context.Context, kind platform.Collection, name string, at platform.Revision) error
 }
 
 // Manager reads and changes configurations and drains in the store for operators.
@@ -314,22 +317,54 @@
 	return Release{}, &Error{Op: "history", Kind: KindNotFound, Err: errors.Newf("version %d is not in the history", v)}
 }
 
+// renewal is the spec of a drain that was drained again.
+type renewal struct {
+	Renewed time.Time `json:"renewed"`
+}
+
+// errChanged is returned if an object has changed since it was read.
+var errChanged = errors.New("the object has changed meanwhile")
+
 // Drain stops new requests to the endpoints of a failure domain. It fails with
 // KindStore, or with KindUncertain.
 func (m *Manager) Drain(ctx context.Context, id inventory.DomainID) error {
 	return m.change(ctx, "drain", func() error {
 		_, err := m.store.Create(ctx, platform.Drains, string(id), struct{}{})
 		if platform.IsKind(err, platform.KindConflict) {
-			return nil // already drained
+			return m.renewDrain(ctx, id)
 		}
 		return err
 	})
 }
 
-// Undrain removes the drain of a failure domain. It fails with KindStore, or with
-// KindUncertain.
+// renewDrain changes a drain, so that it has another revision than the one that an outstanding
+// removal may be about to remove.
+func (m *Manager) renewDrain(ctx context.Context, id inventory.DomainID) error {
+	known, err := m.store.Find(ctx, platform.Drains, string(id))
+	if err == nil {
+		_, err = m.store.Replace(ctx, platform.Drains, string(id), renewal{time.Now().UTC()}, known.Revision)
+	}
+	if platform.IsKind(err, platform.KindNotFound) || platform.IsKind(err, platform.KindConflict) {
+		return errChanged
+	}
+	return err
+}
+
+// Undrain removes the drain of a failure domain. It fails with KindStore, with KindUncertain, or with
+// KindConflict if the failure domain was drained again meanwhile.
 func (m *Manager) Undrain(ctx context.Context, id inventory.DomainID) error {
-	return m.change(ctx, "undrain", func() error { return m.store.Delete(ctx, platform.Drains, string(id)) })
+	var known platform.Written
+	err := m.retry(ctx, func() (err error) {
+		known, err = m.store.Find(ctx, platform.Drains, string(id))
+		return err
+	})
+	switch {
+	case platform.IsKind(err, platform.KindNotFound):
+		return nil
+	case err != nil:
+		return &Error{Op: "undrain", Kind: KindStore, Err: err}
+	}
+	return m.change(ctx, "undrain", func() error { return m.store.Delete(ctx, platform.Drains, string(id), known.Revision) })
 }
 
 // Drained returns the failure domains that are drained. It fails with KindStore.
@@ -357,6 +392,9 @@
 		}
 		return err
 	})
+	if platform.IsKind(err, platform.KindConflict) {
+		return &Error{Op: op, Kind: KindConflict, Err: errors.New("another operator's change was accepted meanwhile")}
+	}
 	if err != nil {
 		return &Error{Op: op, Kind: kind, Err: err}
 	}
@@ -371,13 +409,13 @@
 	return nil
 }
 
-// retry repeats a call while the store is unavailable, overloaded, or its response
-// is lost, until ctx ends. The call must be idempotent.
+// retry repeats a call while the store is unavailable, overloaded, its response is lost, or an object
+// has changed since it was read, until ctx ends. The call must be idempotent.
 func (m *Manager) retry(ctx context.Context, call func() error) error {
 	backoff := platform.Backoff{Min: minBackoff, Max: maxBackoff}
 	for {
 		err := call()
-		transient := platform.IsKind(err, platform.KindUnavailable) || platform.IsKind(err, platform.KindUncertain) || platform.IsKind(err, platform.KindBusy)
+		transient := platform.IsKind(err, platform.KindUnavailable) || platform.IsKind(err, platform.KindUncertain) || platform.IsKind(err, platform.KindBusy) || errors.Is(err, errChanged)
 		if !transient || !backoff.Wait(ctx) {
 			return err
 		}
--- a/configuration/error.go
+++ b/configuration/error.go
@@ -6,7 +6,7 @@
 // The kinds of failure.
 const (
 	KindBaseMismatch Kind = "base"      // the version in force is not the base of the change
-	KindConflict     Kind = "lost"      // another operator's version was accepted first; this change has no effect
+	KindConflict     Kind = "lost"      // another operator's change was accepted first; this one has no effect
 	KindUncertain    Kind = "uncertain" // the change may be in force, or may come into force later
 	KindStore        Kind = "store"     // a store call failed; nothing was published
 	KindRecord       Kind = "record"    // the change is in force, but its file is not in the history
--- a/node/leave.go
+++ b/node/leave.go
@@ -69,11 +69,34 @@
 	return &Error{Op: "leave", Kind: KindAborted, Err: errors.Newf("%d requests were aborted: %v", aborted, err)}
 }
 
-// deleteEntry deletes this node's entry from the store.
+// deleteEntry deletes the entry of this process from the store.
 func (n *Node) deleteEntry() {
 	ctx, cancel := context.WithTimeout(context.Background(), deleteTimeout)
 	defer cancel()
-	if err := n.store.Delete(ctx, platform.Entries, string(n.settings.Load().ID)); err != nil {
-		klog.ErrorS(err, "own entry not taken out of the store")
+	for {
+		err := n.deleteOwnEntry(ctx, string(n.settings.Load().ID))
+		if platform.IsKind(err, platform.KindConflict) && ctx.Err() == nil {
+			continue // a write of this process was under way
+		}
+		if err != nil {
+			klog.ErrorS(err, "own entry not taken out of the store")
+		}
+		return
 	}
 }
+
+// deleteOwnEntry deletes the entry unless the next process of this node has written it. The condition
+// keeps a deletion that takes effect late from deleting that process's entry.
+func (n *Node) deleteOwnEntry(ctx context.Context, name string) error {
+	known, err := n.store.Find(ctx, platform.Entries, name)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if e, ok := decodeEntry(known.Object); ok && e.Start != n.started.UnixNano() {
+		return nil
+	}
+	return n.store.Delete(ctx, platform.Entries, name, known.Revision)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -113,7 +113,8 @@
 	discovery.Store
 	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Written, error)
 	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Written, error)
-	Delete(ctx context.Context, kind platform.Collection, name string) error
+	Find(ctx context.Context, kind platform.Collection, name string) (platform.Written, error)
+	Delete(ctx context.Context, kind platform.Collection, name string, at platform.Revision) error
 }
 
 // Node is the process of an entry VM.
--- a/node/restore.go
+++ b/node/restore.go
@@ -179,9 +179,14 @@
 	if !ok {
 		return true
 	}
-	var e storedEntry
+	e, ok := decodeEntry(o)
 	issued, _ := n.quarantine.Issued()
-	return exists && json.Unmarshal(o.Spec, &e) == nil && e.Start == n.started.UnixNano() && len(e.Quarantines) == len(issued)
+	return exists && ok && e.Start == n.started.UnixNano() && len(e.Quarantines) == len(issued)
+}
+
+// decodeEntry returns the entry of a node in an object of the store, if it can be read.
+func decodeEntry(o platform.Object) (e storedEntry, ok bool) {
+	return e, json.Unmarshal(o.Spec, &e) == nil
 }
 
 func (n *Node) quarantineVersion() uint64 {
@@ -189,11 +194,16 @@
 	return version
 }
 
-// writeEntry writes this node's entry, whatever the store has in its place.
+// writeEntry writes this node's entry, whatever the store has in its place. The condition keeps a write
+// that takes effect late from replacing the entry of this node's next process.
 func (n *Node) writeEntry(ctx context.Context, e storedEntry) (platform.Written, error) {
 	w, err := n.store.Create(ctx, platform.Entries, string(e.ID), e)
 	if platform.IsKind(err, platform.KindConflict) {
-		w, err = n.store.Replace(ctx, platform.Entries, string(e.ID), e, 0)
+		known, readErr := n.store.Find(ctx, platform.Entries, string(e.ID))
+		if readErr != nil {
+			return w, readErr
+		}
+		w, err = n.store.Replace(ctx, platform.Entries, string(e.ID), e, known.Revision)
 	}
 	w.Name = string(e.ID)
 	return w, err
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -260,3 +260,29 @@
 		})
 	})
 }
+
+// TestLateWritesOfFormerProcess guards against a deletion or a write of a node's former process that takes effect late,
+// on the entry of the next one.
+func TestLateWritesOfFormerProcess(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		convey.Convey("The entry of the next process stays", t, func() {
+			for _, kind := range []string{"deletion", "write"} {
+				former := h.nodes["n1"]
+				h.platform.SetFault(standin.Fault{LateWrite: 1, LateBy: 3 * time.Second})
+				if kind == "deletion" {
+					former.deleteEntry()
+				} else {
+					_, err := former.writeEntry(h.t.Context(), storedEntry{Entry: former.entry()})
+					convey.So(err, convey.ShouldNotBeNil)
+				}
+				h.kill("n1")
+				next := h.start("n1")
+				time.Sleep(time.Second)
+				began := time.Now()
+				time.Sleep(6 * time.Second)
+				convey.So(next.metrics.counterValues()["entry.lost"], convey.ShouldEqual, 0)
+				convey.So(h.platform.RemovedAt(string(platform.Entries), "n1").After(began), convey.ShouldBeFalse)
+			}
+		})
+	})
+}
--- a/standin/registrar.go
+++ b/standin/registrar.go
@@ -18,7 +18,7 @@
 type Store interface {
 	Create(ctx context.Context, kind platform.Collection, name string, spec any) (platform.Written, error)
 	Replace(ctx context.Context, kind platform.Collection, name string, spec any, at platform.Revision) (platform.Written, error)
-	Delete(ctx context.Context, kind platform.Collection, name string) error
+	Delete(ctx context.Context, kind platform.Collection, name string, at platform.Revision) error
 }
 
 // Registrar maintains the entry of an endpoint in the store.
@@ -72,5 +72,5 @@
 
 // Remove removes the entry from the store.
 func (r *Registrar) Remove(ctx context.Context) error {
-	return r.store.Delete(ctx, platform.Endpoints, string(r.endpoint.ID))
+	return r.store.Delete(ctx, platform.Endpoints, string(r.endpoint.ID), 0)
 }
