retry: divide the slack among all nodes whose use of it may still count

A node that stops takes its entry out at once and serves on for the grace period; the others divided its part among themselves meanwhile, and what it had used just before once more. With two entries left of eight, eight nodes took half of the slack each. A process that starts gained its slack beside what its former process had used.

The slack is divided among all nodes that were listed within a window and the grace period. A process gains four tenths of its part in its first window and the rest at its end. By derivation all nodes stay within 1.4 of the usable slack, of which 0.7 is used.

--- a/node/follow.go
+++ b/node/follow.go
@@ -355,7 +355,7 @@
 	ids := n.members.Entries()
 	n.endpoints.SetColdSenders(endpoint.ColdSenders{Self: n.settings.Load().ID, Entries: ids})
 	n.endpoints.SetLocalDomain(n.location(entries))
-	n.retries.SetNodes(len(ids))
+	n.retries.SetNodes(time.Now(), ids)
 	klog.InfoS("entries", "count", len(ids), "changed", len(events))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -230,7 +230,7 @@
 }
 
 func (b Bounds) retryBounds() retry.Bounds {
-	return retry.Bounds{Ratio: b.Retry.Ratio, Slack: b.Retry.Slack, Window: b.Retry.Window.Duration}
+	return retry.Bounds{Ratio: b.Retry.Ratio, Slack: b.Retry.Slack, Window: b.Retry.Window.Duration, Leave: b.Grace.Duration}
 }
 
 func (b Bounds) endpointBounds() endpoint.Bounds {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -2,9 +2,11 @@
 // coordinate: in any window, each node may send retries in proportion to its own
 // requests, plus its share of the slack.
 //
-// A process that has just started does not count the retries of the previous process
-// on the same VM, so its share of the slack grows linearly from zero over the first
-// window.
+// Nodes come and go, and what one has used of the slack counts in each window of the following
+// time. The slack is therefore divided among all nodes that were listed within a window and the time
+// for which a node serves on after its entry is gone. With N of them, each node takes at most 1/N in a window
+// with the process that was there before it, and at most firstShare/N with those that started in it,
+// since a process gets no more in its first window. All nodes together take 1 + firstShare of the usable slack.
 //
 // # Usage
 //
@@ -25,7 +27,10 @@
 	// that arrive in a different window from the one they were counted in, and for
 	// nodes that share the slack and are not known yet.
 	usableShare = 0.7
-	buckets     = 10 // number of buckets in a window
+	// firstShare is the part of its slack that a process reaches at the end of its first window. The process
+	// before it, on the same VM, may have used all of that window's, so 1 + firstShare times usableShare is below 1.
+	firstShare = 0.4
+	buckets    = 10 // number of buckets in a window
 )
 
 // Bounds is the retry budget of a service, for all nodes together.
@@ -33,6 +38,7 @@
 	Ratio  float64 // retries per request
 	Slack  float64 // additional retries per window, whatever the number of requests
 	Window time.Duration
+	Leave  time.Duration // for which a node serves on after its entry is gone
 }
 
 // Budget counts the requests and retries of one node. It is safe for concurrent use.
@@ -40,7 +46,7 @@
 	bounds Bounds
 
 	mu       sync.Mutex
-	nodes    int
+	nodes    nodeList
 	started  time.Time
 	services map[inventory.ServiceID]*window
 }
@@ -53,14 +59,14 @@
 
 // New returns the budget of a process that starts now and is the only node.
 func New(b Bounds, now time.Time) *Budget {
-	return &Budget{bounds: b, nodes: 1, started: now, services: map[inventory.ServiceID]*window{}}
+	return &Budget{bounds: b, started: now, services: map[inventory.ServiceID]*window{}}
 }
 
-// SetNodes sets the number of nodes that share the slack.
-func (b *Budget) SetNodes(n int) {
+// SetNodes sets the nodes that are listed now.
+func (b *Budget) SetNodes(now time.Time, ids []inventory.EntryID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes = max(1, n)
+	b.nodes.set(now, ids)
 }
 
 // RecordRequest counts the first attempt of a request.
@@ -77,8 +83,7 @@
 	defer b.mu.Unlock()
 	w := b.window(now, id)
 	requests, retries := w.sums()
-	elapsed := min(1, now.Sub(b.started).Seconds()/b.bounds.Window.Seconds())
-	slack := b.bounds.Slack / float64(b.nodes) * elapsed
+	slack := b.bounds.Slack / float64(b.nodes.count(now, b.bounds.Window+b.bounds.Leave)) * b.startShare(now)
 	if retries+1 > usableShare*(b.bounds.Ratio*requests+slack) {
 		return false
 	}
@@ -86,6 +91,14 @@
 	return true
 }
 
+// startShare returns the part of its slack that a process gets so long after its start.
+func (b *Budget) startShare(now time.Time) float64 {
+	if age := now.Sub(b.started); age < b.bounds.Window {
+		return firstShare * age.Seconds() / b.bounds.Window.Seconds()
+	}
+	return 1
+}
+
 func (b *Budget) window(now time.Time, id inventory.ServiceID) *window {
 	w := b.services[id]
 	if w == nil {
@@ -121,7 +134,7 @@
 }
 
 // SetBounds replaces the bounds of the budget. With a different window, the counts so far
-// are lost, so the slack grows from zero again, as in a new process.
+// are lost, so the slack begins at zero again, as in a new process.
 func (b *Budget) SetBounds(now time.Time, bounds Bounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
