configuration: a drain whose answer was lost ends with its removal

An operator drained a failure domain, the answer was lost, the repeated call succeeded, and the drain was removed a second later. Then the first call took effect, and the failure domain was drained again without anyone knowing.

A creation can't carry a condition. A drain therefore names the calls that may create it and when one of them last got no answer. Undrain waits until that is 10 s ago and removes what these calls create, not the drain of another call. It waits only then; if its time ends before, it fails with "uncertain".

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -15,7 +15,8 @@
 // Each accepted file is stored as a release, so that it can be published again.
 // Drains are separate objects and persist across versions. A drain is removed on the condition that
 // it is the one that was read, and draining again changes it: so a removal that takes effect
-// late never ends a drain that was confirmed after it.
+// late never ends a drain that was confirmed after it. A creation can't have a condition; a drain therefore
+// names the calls that may create it once more, and whoever removes it waits for them.
 //
 // # Usage
 //
@@ -317,56 +318,6 @@
 	return Release{}, &Error{Op: "history", Kind: KindNotFound, Err: errors.Newf("version %d is not in the history", v)}
 }
 
-// renewal is the spec of a drain that was drained again.
-type renewal struct {
-	Renewed time.Time `json:"renewed"`
-}
-
-// errChanged is returned if an object has changed since it was read.
-var errChanged = errors.New("the object has changed meanwhile")
-
-// Drain stops new requests to the endpoints of a failure domain. It fails with
-// KindStore, or with KindUncertain.
-func (m *Manager) Drain(ctx context.Context, id inventory.DomainID) error {
-	return m.change(ctx, "drain", func() error {
-		_, err := m.store.Create(ctx, platform.Drains, string(id), struct{}{})
-		if platform.IsKind(err, platform.KindConflict) {
-			return m.renewDrain(ctx, id)
-		}
-		return err
-	})
-}
-
-// renewDrain changes a drain, so that it has another revision than the one that an outstanding
-// removal may be about to remove.
-func (m *Manager) renewDrain(ctx context.Context, id inventory.DomainID) error {
-	known, err := m.store.Find(ctx, platform.Drains, string(id))
-	if err == nil {
-		_, err = m.store.Replace(ctx, platform.Drains, string(id), renewal{time.Now().UTC()}, known.Revision)
-	}
-	if platform.IsKind(err, platform.KindNotFound) || platform.IsKind(err, platform.KindConflict) {
-		return errChanged
-	}
-	return err
-}
-
-// Undrain removes the drain of a failure domain. It fails with KindStore, with KindUncertain, or with
-// KindConflict if the failure domain was drained again meanwhile.
-func (m *Manager) Undrain(ctx context.Context, id inventory.DomainID) error {
-	var known platform.Written
-	err := m.retry(ctx, func() (err error) {
-		known, err = m.store.Find(ctx, platform.Drains, string(id))
-		return err
-	})
-	switch {
-	case platform.IsKind(err, platform.KindNotFound):
-		return nil
-	case err != nil:
-		return &Error{Op: "undrain", Kind: KindStore, Err: err}
-	}
-	return m.change(ctx, "undrain", func() error { return m.store.Delete(ctx, platform.Drains, string(id), known.Revision) })
-}
-
 // Drained returns the failure domains that are drained. It fails with KindStore.
 func (m *Manager) Drained(ctx context.Context) ([]inventory.DomainID, error) {
 	var all []inventory.DomainID
--- a/configuration/late_test.go
+++ b/configuration/late_test.go
@@ -90,16 +90,56 @@
 // TestLateDrainEndsWithItsRemoval guards against a drain whose response was lost and which takes effect once more after it
 // was removed.
 func TestLateDrainEndsWithItsRemoval(t *testing.T) {
+	const domain = inventory.DomainID("norte-a")
+	cases := map[string]struct {
+		renewed bool          // another operator drains, too, before it is removed
+		newer   time.Duration // into the removal, at which another operator drains; 0: none does
+		limit   time.Duration // of the removal
+		kind    configuration.Kind
+		drained bool // in the end
+	}{
+		"removed":                       {limit: time.Minute},
+		"renewed by another operator":   {limit: time.Minute, renewed: true},
+		"drained again by another":      {limit: time.Minute, newer: 2 * time.Second, drained: true},
+		"the command has not that long": {limit: 2 * time.Second, kind: configuration.KindUncertain, drained: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				convey.Convey("It is not drained by the late call", t, func() {
+					r.platform.SetFault(standin.Fault{LateWrite: 1, LateBy: 5 * time.Second})
+					convey.So(r.newManager().Drain(r.t.Context(), domain), convey.ShouldBeNil)
+					time.Sleep(time.Second)
+					if c.renewed {
+						convey.So(r.newManager().Drain(r.t.Context(), domain), convey.ShouldBeNil)
+					}
+					if c.newer > 0 {
+						go func() {
+							time.Sleep(c.newer)
+							_ = r.newManager().Drain(r.t.Context(), domain) // its result is in the store
+						}()
+					}
+					ctx, cancel := context.WithTimeout(r.t.Context(), c.limit)
+					defer cancel()
+					convey.So(kindOf(r.newManager().Undrain(ctx, domain)), convey.ShouldEqual, c.kind)
+					time.Sleep(20 * time.Second)
+					all, err := r.newManager().Drained(r.t.Context())
+					convey.So(err, convey.ShouldBeNil)
+					convey.So(len(all) == 1, convey.ShouldEqual, c.drained)
+				})
+			})
+		})
+	}
+}
+
+// TestUndrainOfAnsweredDrainDoesNotWait guards against a command that takes long without a reason.
+func TestUndrainOfAnsweredDrainDoesNotWait(t *testing.T) {
 	bubble(t, func(r *rig) {
-		convey.Convey("The failure domain is not drained in the end", t, func() {
-			r.platform.SetFault(standin.Fault{LateWrite: 1, LateBy: 5 * time.Second})
+		convey.Convey("It ends at once", t, func() {
 			convey.So(r.newManager().Drain(r.t.Context(), "norte-a"), convey.ShouldBeNil)
-			time.Sleep(time.Second)
+			began := time.Now()
 			convey.So(r.newManager().Undrain(r.t.Context(), "norte-a"), convey.ShouldBeNil)
-			time.Sleep(20 * time.Second)
-			all, err := r.newManager().Drained(r.t.Context())
-			convey.So(err, convey.ShouldBeNil)
-			convey.So(all, convey.ShouldBeEmpty)
+			convey.So(time.Since(began), convey.ShouldBeLessThan, 100*time.Millisecond)
 		})
 	})
 }
