--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -244,7 +244,8 @@
 				table.Move(start, id, 1)
 			}
 		}
-		for table.Open(start, Requests).Admit {
+		for full := false; !full; {
+			full = !table.Open(start, Requests).Admit
 		}
 		order := ""
 		for i := range 2*each + 300 {
