discovery: read at once if another node has a newer configuration

A forwarded request under a newer version now ends that pause, at most each 0.1 s, also after a probe that failed. TestHurriedReadsDoNotWait fails in all cases without the call.

--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -355,6 +355,7 @@
 		"two endpoints of a service, paused, leaving": {1024, 20 * time.Second, true},
 		"cut off while a configuration changes":       {1201, 20 * time.Second, true},
 		"the news of a start after its first pause":   {1058, 20 * time.Second, true},
+		"the only other node reads a version later":   {102, time.Minute, true},
 	}
 	for name, c := range cases {
 		if c.regression && !*foundSeeds {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -49,6 +49,9 @@
 	overdueProbeTime = 350 * time.Millisecond
 	minBackoff       = 200 * time.Millisecond // after a failed list or watch, doubling
 	maxBackoff       = 2 * time.Second
+	// hurryInterval is the shortest time between two calls that are made sooner since changes are known to be
+	// missing.
+	hurryInterval = 100 * time.Millisecond
 )
 
 // Store is the client of the store that a Follower reads from.
@@ -98,12 +101,54 @@
 	era       platform.Era  // the latest that a response named
 	probedAt  time.Time     // when the pending probe was sent; zero: none is pending
 	changed   chan struct{} // closed and replaced when reading or failed changes, or by Refresh
+
+	hurries map[platform.Collection]*hurry // the map does not change
+	reprobe chan struct{}                  // holds one value if an unreachable store is to be probed at once
+}
+
+// hurry ends the pause before the next call for a collection.
+type hurry struct {
+	wake chan struct{} // holds one value if the pause is to end
+	at   time.Time     // when the last one was put there
 }
 
 // New returns a follower of the collections kinds that does not read yet. The
 // collection probe is read often, so it should be small.
 func New(store Store, m *Mirror, o StoreObserver, probe platform.Collection, kinds ...platform.Collection) *Follower {
-	return &Follower{store: store, mirror: m, observer: o, kinds: kinds, probe: probe, changed: make(chan struct{})}
+	f := &Follower{store: store, mirror: m, observer: o, kinds: kinds, probe: probe, changed: make(chan struct{}), hurries: map[platform.Collection]*hurry{}, reprobe: make(chan struct{}, 1)}
+	for _, kind := range kinds {
+		f.hurries[kind] = &hurry{wake: make(chan struct{}, 1)}
+	}
+	return f
+}
+
+// Hurry makes the next call for a collection at once, also after calls or a probe that failed, since another process
+// has changes that this one lacks.
+func (f *Follower) Hurry(now time.Time, kind platform.Collection) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.hurries[kind]
+	if h == nil || now.Sub(h.at) < hurryInterval {
+		return
+	}
+	h.at = now
+	wake(h.wake)
+	if f.failed {
+		wake(f.reprobe)
+	}
+}
+
+// wake puts a value into a channel that holds one.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// rest pauses before the next call for a collection.
+func (f *Follower) rest(ctx context.Context, kind platform.Collection, d time.Duration, changed chan struct{}) {
+	pause(ctx, d, changed, f.hurries[kind].wake)
 }
 
 // Run follows the collections until ctx ends.
@@ -196,7 +241,7 @@
 		if err != nil {
 			interval = probeRetryInterval
 		}
-		sleep(ctx, interval, changed)
+		pause(ctx, interval, changed, f.reprobe)
 	}
 }
 
@@ -257,12 +302,12 @@
 			return
 		case err == nil:
 			backoff.Reset()
-			sleep(ctx, coalesceDelay, changed)
+			f.rest(ctx, kind, coalesceDelay, changed)
 		case isClosed(changed): // retried once reading is enabled and the store is reachable
 		default:
 			f.observer.Failed(kind, err)
 			if !discarded && time.Since(began) < watchWait { // a longer call needs no further pause
-				backoff.Wait(ctx)
+				f.rest(ctx, kind, backoff.Pause(), nil)
 			}
 		}
 	}
@@ -358,13 +403,14 @@
 	}
 }
 
-// sleep waits for d, until changed is closed or ctx ends.
-func sleep(ctx context.Context, d time.Duration, changed chan struct{}) {
+// pause waits for d, until one of two channels is closed or holds a value, or ctx ends.
+func pause(ctx context.Context, d time.Duration, changed, woken chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-changed:
+	case <-woken:
 	case <-timer.C:
 	}
 }
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -311,3 +311,44 @@
 		})
 	}
 }
+
+// TestHurriedReadsDoNotWait guards against a process that stays behind for the whole pause before its next call, though
+// it has been told of a change.
+func TestHurriedReadsDoNotWait(t *testing.T) {
+	cases := map[string]struct {
+		away time.Duration // of the store, from just before the change
+	}{
+		"after a change a moment ago": {},
+		"after calls that failed":     {away: 300 * time.Millisecond},
+		"after a probe that failed":   {away: 1300 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(f *fixture) {
+				convey.Convey("The change is read within some round trips of 10 ms, and calls stay spaced", t, func() {
+					for i := range 10 {
+						f.write("a", fmt.Sprint("before ", i))
+						time.Sleep(time.Duration(1000+97*i) * time.Millisecond)
+						f.write("a", fmt.Sprint("again ", i))
+						time.Sleep(20 * time.Millisecond)
+						if c.away > 0 {
+							f.platform.SetFault(standin.Fault{Down: true, OnlyClients: []string{"10.0.0.3"}})
+							f.platform.Compact() // ends the pending watch
+						}
+						f.write("a", fmt.Sprint("after ", i))
+						time.Sleep(c.away)
+						f.platform.SetFault(standin.Fault{})
+						reads := f.platform.Counts().Reads
+						for range 30 {
+							f.follower.Hurry(time.Now(), "things")
+							time.Sleep(3 * time.Millisecond)
+						}
+						convey.So(f.sink.spec("a"), convey.ShouldEqual, fmt.Sprintf("%q", fmt.Sprint("after ", i)))
+						convey.So(f.platform.Counts().Reads-reads, convey.ShouldBeLessThanOrEqualTo, 5)
+						time.Sleep(3 * time.Second)
+					}
+				})
+			})
+		})
+	}
+}
--- a/node/forwarded.go
+++ b/node/forwarded.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/wasabiwheel/wasabiwheel/caller"
+	"github.com/wasabiwheel/wasabiwheel/platform"
 	"github.com/wasabiwheel/wasabiwheel/reach"
 )
 
@@ -44,6 +45,7 @@
 	case n.state() != StateServing:
 		n.rejectForwarded(w, r, ReasonLeaving)
 	case n.version() < from.version:
+		n.follower.Hurry(now, platform.Configurations)
 		n.rejectForwarded(w, r, ReasonBehind)
 	case state == reach.StateCutOff:
 		n.rejectForwarded(w, r, ReasonCutOff)
