--- a/budget/budget.go
+++ b/budget/budget.go
@@ -152,7 +152,7 @@
 	holders  holders
 	open     map[Class]int
 	closable map[Class]*[tiers]holders
-	large    holders // those that may be closed for the memory that they hold, or will be in another phase
+	large    holders // open connections that hold minTaken bytes or more on top
 	taken    int64   // bytes of all connections
 	freeing  int64   // bytes on top of ConnectionBytes of those that are being closed
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -192,6 +192,7 @@
 	if err == nil {
 		c.handOver()
 	}
+	// A response that leaves open whether the request ran is complete nevertheless.
 	isSound := err == nil || isKind(err, KindConflicting)
 	p.release(c, reusable && isSound && !interrupted)
 	// A caller that has gone needs no further attempt, also if nothing had been sent.
