--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -104,14 +104,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, testInventory())
 		defer h.close()
-		for _, e := range h.inv.Entries {
-			h.start(e.ID)
-		}
-		time.Sleep(8 * time.Second) // until all nodes have the entries of the others
+		h.startAll()
 		body(h)
 	})
 }
 
+// startAll starts all nodes and waits until they have the entries of the others.
+func (h *harness) startAll() {
+	for _, e := range h.inv.Entries {
+		h.start(e.ID)
+	}
+	time.Sleep(8 * time.Second)
+}
+
 func newHarness(t *testing.T, text []byte) *harness {
 	h := newEmptyHarness(t, text)
 	for _, e := range h.inv.Endpoints {
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// withLoggedHarness is like withHarness, and collects the log from before the nodes start until they have ended: they
+// read which logger is set.
+func withLoggedHarness(t *testing.T, body func(h *harness, out *blockingWriter)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		out, end := collectLog()
+		defer end()
+		h := newHarness(t, testInventory())
+		defer h.close()
+		h.startAll()
+		body(h, out)
+	})
+}
+
 func TestLogIsBoundedAndNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("Dropped lines are counted", t, func() {
@@ -114,20 +128,22 @@
 }
 
 func TestLateRejectionIsLoggedWithTimes(t *testing.T) {
-	withHarness(t, func(h *harness) {
+	withLoggedHarness(t, func(h *harness, out *blockingWriter) {
 		convey.Convey("The expected time exceeds the bound", t, func() {
 			h.setBehaviour(standin.Behaviour{Work: 300 * time.Millisecond})
 			h.send(h.t.Context(), "n1", testRequest{})
-			out, end := collectLog()
 			var wait sync.WaitGroup
 			for range 200 {
 				wait.Go(func() { h.send(h.t.Context(), "n1", testRequest{}) })
 				time.Sleep(time.Millisecond) // so that each finds the ones before it counted
 			}
 			wait.Wait()
-			end()
+			time.Sleep(3 * time.Second) // until they are written
 			rejected := 0
 			for _, l := range out.lines() {
+				if !strings.Contains(l, `"msg":"request"`) {
+					continue
+				}
 				var line struct {
 					Reason       string  `json:"reason"`
 					Takes, Bound float64 // seconds
--- a/node/promise_test.go
+++ b/node/promise_test.go
@@ -126,12 +126,11 @@
 
 // TestStatusOfEndpointIsLogged guards against an answer of the node's whose cause the log doesn't show.
 func TestStatusOfEndpointIsLogged(t *testing.T) {
-	withHarness(t, func(h *harness) {
+	withLoggedHarness(t, func(h *harness, out *blockingWriter) {
 		convey.Convey("The line of a request has the status that was sent, and that of the endpoint", t, func() {
-			out, end := collectLog()
 			h.setBehaviour(standin.Behaviour{Fail: 1, FailStatus: http.StatusServiceUnavailable})
 			resp := h.send(h.t.Context(), "n1", testRequest{method: http.MethodPost, path: "/post/x"})
-			end()
+			time.Sleep(3 * time.Second) // until it is written
 			var line struct {
 				Status   int
 				Outcome  caller.Outcome
