node, endpoint: log and count in which region requests run, and what moved them

The request lines named no region or failure domain of an attempt, and no counter told the hypotheses of docs/incidents/region-shifts.md apart.

Each attempt now has the region and failure domain of its endpoint, and why it is not the endpoint that ranks first for the object. Each node logs a line 'regions' for each window of 2 s, aligned to the clock so that the lines of a region's nodes add up: requests by region of the endpoint, and by cause of a move. Counters region.* and moved.* hold the same. The choice of endpoints is unchanged.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -77,6 +77,7 @@
 type Choice struct {
 	Endpoint   inventory.Endpoint
 	Region     inventory.RegionID
+	Moved      Move          // why it is not the endpoint that ranks first for the object
 	Rank       int           // position among the candidates, from 0
 	Warm       bool          // the endpoint is expected to have the object cached
 	Cold       bool          // the endpoint may still be cold
@@ -155,11 +156,11 @@
 			return c, ""
 		}
 	}
-	best, reason := t.rank(now, p, q)
-	if len(best) == 0 {
+	ranked, reason := t.rank(now, p, q)
+	if reason != "" {
 		return Choice{}, reason
 	}
-	best = t.preferLocal(now, p, q, best)
+	best := t.preferLocal(now, p, q, ranked.best)
 	var chosen, primary estimate
 	primaryRank := t.rankOfPrimary(now, q, best)
 	rank, lowest := 0, math.Inf(1)
@@ -179,6 +180,7 @@
 		}
 	}
 	c := t.choice(now, p, q, best[rank].state, rank, chosen)
+	c.Moved = ranked.move(best, rank, primaryRank)
 	c.replica = rank > primaryRank
 	c.Replica = q.Hedge && rank == 0 && p.utilization < maxReplicaUtilization
 	return c, ""
@@ -204,54 +206,63 @@
 	return 0
 }
 
-// rank returns the usable endpoints with the highest scores, in descending order. Of those with a
+// ranking holds the usable endpoints of a service with the highest scores for an object.
+type ranking struct {
+	best     []candidate // in descending order
+	limited  candidate   // the first usable endpoint with a limit, if these are ranked apart
+	excluded candidate   // the first endpoint that is excluded for a time
+	reason   Reason      // why it is
+}
+
+// rank returns the usable endpoints with the highest scores. Of those with a
 // limit it returns only the first one, and only if that ranks before all without a limit:
 // otherwise an object would be cached at many endpoints that may serve it only now and then. If
 // all endpoints have limits, they are ranked like others. If none is usable, rank returns the
 // reason.
-func (t *Table) rank(now time.Time, p *pool, q Query) (best []candidate, reason Reason) {
-	best, limited := t.scan(now, p, q, q.Mixed)
+func (t *Table) rank(now time.Time, p *pool, q Query) (r ranking, reason Reason) {
+	r = t.scan(now, p, q, q.Mixed)
 	switch {
-	case len(best) == 0 && limited.state == nil:
-		return nil, t.noEndpointReason(now, p, q)
-	case len(best) == 0:
-		best, _ = t.scan(now, p, q, true)
-	case limited.state != nil && limited.score > best[0].score:
-		best = slices.Insert(best, 0, limited)[:min(len(best)+1, maxCandidates)]
+	case len(r.best) == 0 && r.limited.state == nil:
+		return r, t.noEndpointReason(now, p, q)
+	case len(r.best) == 0:
+		r = t.scan(now, p, q, true)
+	case r.limited.state != nil && r.limited.score > r.best[0].score:
+		r.best = slices.Insert(r.best, 0, r.limited)[:min(len(r.best)+1, maxCandidates)]
 	}
-	return best, ""
+	return r, ""
 }
 
-// scan returns the usable endpoints with the highest scores, in descending order, and the usable
-// endpoint with a limit that has the highest score. It ranks endpoints with a limit among the
-// others if mixed is set.
-func (t *Table) scan(now time.Time, p *pool, q Query, mixed bool) (best []candidate, limited candidate) {
+// scan ranks the endpoints of a service, those with a limit among the others if mixed is set.
+func (t *Table) scan(now time.Time, p *pool, q Query, mixed bool) ranking {
 	key := q.key()
-	best = make([]candidate, 0, maxCandidates+1)
+	r := ranking{best: make([]candidate, 0, maxCandidates+1)}
 	for _, s := range p.endpoints {
 		u := unitHash(key, s)
 		apart := !mixed && s.limit.inForce()
 		lowest := 0.0 // score that the endpoint has to exceed
 		switch {
 		case apart:
-			lowest = limited.score
-		case len(best) == maxCandidates:
-			lowest = best[maxCandidates-1].score
+			lowest = r.limited.score
+		case len(r.best) == maxCandidates:
+			lowest = r.best[maxCandidates-1].score
 		}
 		// slots/(1-u) is an upper bound of the score and avoids the logarithm.
-		if float64(s.Slots) <= lowest*(1-u) || t.exclusion(now, s, q) != "" {
+		if float64(s.Slots) <= lowest*(1-u) {
 			continue
 		}
 		cand := candidate{state: s, score: score(u, s)}
+		reason := t.exclusion(now, s, q)
 		switch {
+		case reason != "":
+			r.exclude(cand, reason)
 		case cand.score <= lowest:
 		case apart:
-			limited = cand
+			r.limited = cand
 		default:
-			best = insert(best, cand)
+			r.best = insert(r.best, cand)
 		}
 	}
-	return best, limited
+	return r
 }
 
 // insert inserts a candidate by its score and keeps the first maxCandidates.
--- a/endpoint/isolate.go
+++ b/endpoint/isolate.go
@@ -54,7 +54,7 @@
 		return Choice{}, false
 	}
 	c := t.choice(now, p, q, best, 0, t.estimate(now, p, q, best, false))
-	c.isolated, c.replica = true, true
+	c.isolated, c.replica, c.Moved = true, true, MoveIsolated
 	return c, true
 }
 
--- a/endpoint/rank_test.go
+++ b/endpoint/rank_test.go
@@ -34,7 +34,7 @@
 			if rapid.Bool().Draw(rt, "bound") {
 				q.Homes = []inventory.RegionID{"q"}
 			}
-			best, reason := table.rank(epoch, p, q)
+			ranked, reason := table.rank(epoch, p, q)
 			var all []candidate
 			for _, s := range p.endpoints {
 				if table.exclusion(epoch, s, q) == "" {
@@ -54,8 +54,8 @@
 			if len(all) == 0 && reason != ReasonNone {
 				rt.Fatalf("reason %s", reason)
 			}
-			if !slices.Equal(all, best) {
-				rt.Fatalf("%v, want %v", best, all)
+			if !slices.Equal(all, ranked.best) {
+				rt.Fatalf("%v, want %v", ranked.best, all)
 			}
 		})
 	})
--- a/node/handler.go
+++ b/node/handler.go
@@ -201,11 +201,17 @@
 	return out
 }
 
-// String formats an attempt: the endpoint, the result, whether it was a hedge, the endpoint's rank for the
-// object, whether the object is expected to be warm there, whether the endpoint is cold,
+// String formats an attempt: the endpoint, the result, the endpoint's region and failure domain, what moved
+// the request there, whether it was a hedge, the endpoint's rank for the object, whether the object is expected to be warm there, whether the endpoint is cold,
 // its estimated load in requests, and the expected and actual times.
 func (a attempt) String() string {
 	text := string(a.endpoint) + " " + a.result
+	if a.region != "" {
+		text += " in " + string(a.region) + "/" + string(a.domain)
+	}
+	if a.moved != "" {
+		text += " moved " + string(a.moved)
+	}
 	if a.hedge {
 		text += " hedge"
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -149,6 +149,7 @@
 	pool          *exchange.Pool
 	reach         *reach.Detector
 	attempts      directAttempts
+	regions       regionCounts
 	forwarders    *reach.Forwarders
 	forwardPool   *exchange.Pool // connections to other nodes
 	mirror        *discovery.Mirror
@@ -321,6 +322,7 @@
 		for _, e := range n.endpoints.Tick(now) {
 			n.forgetEndpoint(e, "not registered again after the store recovered")
 		}
+		n.logRegions(n.regions.tick(now))
 		n.mirror.Tick(now)
 		n.sending.discardEncoded(now)
 		n.quarantine.Tick(now)
--- a/node/request.go
+++ b/node/request.go
@@ -74,6 +74,9 @@
 // attempt is an attempt of a request at an endpoint, for the log.
 type attempt struct {
 	endpoint     inventory.EndpointID
+	region       inventory.RegionID // of the endpoint; "": another node was asked
+	domain       inventory.DomainID
+	moved        endpoint.Move
 	result       string
 	cause        string // network or protocol error
 	rank         int
@@ -90,7 +93,7 @@
 // newAttempt returns the log entry of an attempt at a chosen endpoint.
 func newAttempt(c endpoint.Choice, result string, took time.Duration) attempt {
 	return attempt{
-		endpoint: c.Endpoint.ID, result: result, rank: c.Rank, warm: c.Warm, cold: c.Cold,
+		endpoint: c.Endpoint.ID, region: c.Region, domain: c.Endpoint.Domain, moved: c.Moved, result: result, rank: c.Rank, warm: c.Warm, cold: c.Cold,
 		busy: c.Requests, expectedWait: c.Wait, expectedRun: c.Run, took: took,
 	}
 }
--- a/node/steer.go
+++ b/node/steer.go
@@ -214,6 +214,7 @@
 	ctx, done := n.track(ctx, req)
 	defer done()
 	start := time.Now()
+	n.recordRegion(start, c)
 	if c.LastResort {
 		n.metrics.increment("leaving.doubted")
 	}
