endpoint: the region of a request is state that changes at a bounded rate

Where a request ran followed at each moment from what its node knew: round trips, copies nearby, registrations, warm-ups, drains, objectives, shares of callers. All nodes learn these at nearly the same moment, so a threshold that turned did so for all requests.

An object now has a region at each node, which follows what ranks first, and the part of a route that runs in the callers' region follows round trips and room, both paid from an allowance: a share of the node's own requests for each window of 2 s. The requests of a region are the sum of its nodes', so the bound of the settings holds for the sum, without messages. Within the region the cost decides as before. A request that finds no usable endpoint there leaves at once, and so do objects whose first endpoint was lost or drained with its failure domain; where endpoints only pause, have a limit or are cold, single requests leave within the bound, others are rejected as before. Nodes that start take the parts over from a neighbour of their region.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -63,6 +63,8 @@
 	// Hedge marks a second copy of a request. All nodes prefer the same endpoint for those of an
 	// object, so that it is cached there after the first one.
 	Hedge bool
+
+	within *region // whose endpoints may be used; nil: any
 }
 
 // key returns what the endpoints are ranked by.
@@ -156,7 +158,7 @@
 			return c, ""
 		}
 	}
-	ranked, reason := t.rank(now, p, q)
+	ranked, moved, reason := t.rankPlaced(now, p, q)
 	if reason != "" {
 		return Choice{}, reason
 	}
@@ -180,7 +182,9 @@
 		}
 	}
 	c := t.choice(now, p, q, best[rank].state, rank, chosen)
-	c.Moved = ranked.move(best, rank, primaryRank)
+	if c.Moved = ranked.move(best, rank, primaryRank); c.Moved == "" {
+		c.Moved = moved
+	}
 	c.replica = rank > primaryRank
 	c.Replica = q.Hedge && rank == 0 && p.utilization < maxReplicaUtilization
 	return c, ""
@@ -294,6 +298,8 @@
 		return ReasonNone
 	case t.leaves(now, s, q.LastResort):
 		return ReasonLeaves
+	case q.within != nil && s.region != q.within:
+		return ReasonNone
 	case len(q.Homes) > 0 && !slices.Contains(q.Homes, t.regions[s.Domain]):
 		return ReasonNone
 	case slices.Contains(q.Tried, s.ID):
--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -50,6 +50,8 @@
 	Noise    []NoiseReport   `cbor:"noise,omitempty"`
 	// Undrained holds failure domains of which the drain has ended lately.
 	Undrained []UndrainReport `cbor:"undrained,omitempty"`
+	// Localities holds what a node that starts can't know: the part of routes that runs in the region.
+	Localities []LocalityReport `cbor:"local,omitempty"`
 }
 
 // Replica is an endpoint other than an object's primary one that has the object cached.
@@ -72,7 +74,10 @@
 type Hash uint64
 
 // GossipPosition is what a node has been told of another one's log. The zero value: nothing.
-type GossipPosition struct{ replicas, reports, limits, leaving, noise, undrained uint64 }
+type GossipPosition struct {
+	replicas, reports, limits, leaving, noise, undrained uint64
+	localities                                           bool
+}
 
 // replicaLog holds the latest replicas that a node has learned of.
 type replicaLog struct {
@@ -151,6 +156,9 @@
 	g.Leaving, after.leaving = t.leavingSince(now, after.leaving)
 	g.Noise, after.noise = t.noiseSince(now, after.noise)
 	g.Undrained, after.undrained = t.undrainsSince(now, after.undrained)
+	if !after.localities {
+		g.Localities, after.localities = t.localityReports(), true
+	}
 	return g, after
 }
 
@@ -202,6 +210,9 @@
 	for _, r := range g.Undrained[:min(len(g.Undrained), maxUndrainsTold)] {
 		t.learnUndrain(now, r)
 	}
+	for _, r := range g.Localities[:min(len(g.Localities), maxLocalitiesTold)] {
+		t.learnLocality(now, r)
+	}
 	for _, r := range g.Leaving[:min(len(g.Leaving), maxLeavingTold)] {
 		t.learnLeaving(now, r)
 	}
--- a/endpoint/local.go
+++ b/endpoint/local.go
@@ -7,6 +7,8 @@
 // each failure domain, as far as the domain has slots for the requests of its callers.
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wasabiwheel/wasabiwheel/inventory"
@@ -17,10 +19,24 @@
 // round trip was 0.23 of the objective, and worse when it was 0.14.
 const localThreshold = 0.2
 
+const (
+	// regionThreshold is the share of the objective from which a round trip between regions counts as
+	// long: objects have a primary endpoint in each region, as far as it has room.
+	regionThreshold = 0.08
+	// callersShare is the part of a region's slots for its own callers. The rest is for objects that have
+	// their only primary endpoint there.
+	callersShare = 0.8
+	// A region has room for that part up to a utilization of roomyUtilization, and for none from
+	// fullUtilization on.
+	roomyUtilization = 0.3
+	fullUtilization  = 0.7
+)
+
 // LocalDomain describes the failure domain of this node.
 type LocalDomain struct {
-	Domain inventory.DomainID
-	Share  float64 // share of all callers that the nodes of the domain serve
+	Domain      inventory.DomainID
+	Share       float64 // share of all callers that the nodes of the domain serve
+	RegionShare float64 // share of all callers that the nodes of its region serve; 0: unknown
 }
 
 // SetLocalDomain sets the failure domain of this node.
@@ -30,20 +46,170 @@
 	t.local = d
 }
 
+// locality is the part of a route's objects whose requests run near this node. It follows what the round
+// trips, the objective, the slots and the callers call for within the bound on shifts.
+type locality struct {
+	requests recentCount // of the route, at this node
+	placed   recentCount // of these, that the placements of their objects have in its region
+	domain   localPart   // in its failure domain
+	region   localPart   // in its region
+}
+
+// localPart is a part of a route's objects.
+type localPart struct {
+	part  float64
+	least time.Duration // that has to be saved
+}
+
+// maxLocalities bounds the routes of which the locality is remembered, some 150 bytes each.
+const maxLocalities = 4096
+
+// locality returns the locality of a route.
+func (t *Table) locality(r inventory.RouteID) *locality {
+	l := t.localities[r]
+	if l == nil && len(t.localities) >= maxLocalities {
+		return &locality{} // the route has none
+	}
+	if l == nil {
+		l = &locality{}
+		t.localities[r] = l
+	}
+	return l
+}
+
+// forgetLocalities forgets the routes that are rarely requested if there are too many.
+func (t *Table) forgetLocalities(now time.Time) {
+	if len(t.localities) < maxLocalities {
+		return
+	}
+	for id, l := range t.localities {
+		if l.requests.value(now) < minPlacedLoad {
+			delete(t.localities, id)
+		}
+	}
+}
+
+// isLong reports whether the longest round trip exceeds that within this node's failure domain by a
+// duration.
+func (t *Table) isLong(least time.Duration) bool {
+	longest := time.Duration(0)
+	for _, measured := range t.roundTrips {
+		longest = max(longest, measured)
+	}
+	return longest-t.roundTrip(t.local.Domain) >= max(least, 1)
+}
+
+// follow moves a part towards a target. share is that of the requests that change their region if the part
+// goes from 0 to 1.
+func (l *localPart) follow(now time.Time, b *shifts, target, share float64) {
+	l.part = b.step(now, l.part, target, share)
+}
+
+// preferRegion returns this node's region if a request is to run there, else the region of its placement.
+func (t *Table) preferRegion(now time.Time, p *pool, q Query, r *region) *region {
+	home := t.domainRegions[t.local.Domain]
+	if q.Object == 0 || home == nil || t.local.RegionShare == 0 {
+		return r
+	}
+	l := t.locality(q.Route)
+	least := time.Duration(regionThreshold * float64(q.Objective))
+	isLong := t.isLong(least)
+	if !isLong && l.region.part == 0 {
+		return r
+	}
+	room := p.rooms[home]
+	if room.share == 0 {
+		l.region.part = 0 // its endpoints are lost; the requests return within the bound
+		return r
+	}
+	target := 0.0
+	if isLong {
+		target = room.part() * min(1, callersShare*room.share/t.local.RegionShare)
+	}
+	if r == home {
+		l.placed.add(now)
+	}
+	elsewhere := max(1, l.requests.value(now)-l.placed.value(now))
+	l.region.follow(now, &t.shifts, target, t.shifts.shareOf(now, elsewhere))
+	if uniform(q.Object) < l.region.part {
+		return home
+	}
+	return r
+}
+
+// room is what a service has in a region.
+type room struct {
+	share       float64 // of its slots
+	utilization float64 // smoothed requests per slot
+}
+
+// part returns the part of the requests for which there is room.
+func (r room) part() float64 {
+	return min(1, max(0, (fullUtilization-r.utilization)/(fullUtilization-roomyUtilization)))
+}
+
+// hasRanked reports whether an endpoint in a failure domain is ranked.
+func (p *pool) hasRanked(d inventory.DomainID) bool {
+	return slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return s.counted && s.Domain == d })
+}
+
+// updateRooms counts the slots and the requests of a service by region.
+func (p *pool) updateRooms(now time.Time) {
+	slots, requests, all := map[*region]float64{}, map[*region]float64{}, 0.0
+	for _, s := range p.endpoints {
+		if s.counted {
+			slots[s.region] += float64(s.Slots)
+			requests[s.region] += s.requests(now)
+			all += float64(s.Slots)
+		}
+	}
+	former := p.rooms
+	p.rooms = map[*region]room{}
+	for r, count := range slots {
+		last := former[r].utilization
+		p.rooms[r] = room{share: count / all, utilization: last + utilizationWeight*(requests[r]/count-last)}
+	}
+}
+
 // preferLocal puts the object's primary endpoint in this node's failure domain first, if
-// the round trip that it saves is long enough. It does so for a share of the objects that
-// matches the domain's slots and callers.
+// the round trip that it saves is long enough. It does so for a part of the objects that
+// matches the domain's slots and callers. The other candidates are then those of the domain's region.
 func (t *Table) preferLocal(now time.Time, p *pool, q Query, best []candidate) []candidate {
-	saved := t.roundTrip(best[0].state.Domain) - t.roundTrip(t.local.Domain)
-	if q.Object == 0 || saved.Seconds() < localThreshold*q.Objective.Seconds() {
+	if q.Object == 0 {
+		return best
+	}
+	route := t.locality(q.Route)
+	route.requests.add(now)
+	l := &route.domain
+	least := time.Duration(localThreshold * float64(q.Objective))
+	isLong := t.isLong(least)
+	if !isLong && l.part == 0 {
 		return best
 	}
+	q.within = nil
 	primary, share := t.localPrimary(now, p, q)
-	if primary.state == nil || primary.state == best[0].state || uniform(q.Object) >= share/t.local.Share {
+	if primary.state == nil {
+		if !p.hasRanked(t.local.Domain) {
+			l.part = 0 // they are lost; the requests return within the bound
+		}
 		return best
 	}
-	reordered := append(make([]candidate, 0, len(best)+1), primary)
-	for _, cand := range best {
+	target := 0.0
+	if isLong {
+		target, l.least = min(1, share/t.local.Share), least
+	}
+	l.follow(now, &t.shifts, target, t.shifts.shareOf(now, route.requests.value(now)))
+	saved := t.roundTrip(best[0].state.Domain) - t.roundTrip(t.local.Domain)
+	if saved < l.least || primary.state == best[0].state || uniform(q.Object) >= l.part {
+		return best
+	}
+	q.within = t.domainRegions[t.local.Domain]
+	ranked, reason := t.rank(now, p, q)
+	if reason != "" {
+		return best
+	}
+	reordered := append(make([]candidate, 0, len(ranked.best)+1), primary)
+	for _, cand := range ranked.best {
 		if cand.state != primary.state {
 			reordered = append(reordered, cand)
 		}
@@ -80,3 +246,39 @@
 }
 
 const uniformSalt = 0x9e3779b97f4a7c15 // any value that the ranking does not use
+
+// maxLocalitiesTold bounds the routes in a message, some 50 bytes each.
+const maxLocalitiesTold = 64
+
+// LocalityReport is the part of a route's objects whose requests run in the region of the node that tells
+// it. It is told once to each subscriber, so that a node that starts serves its callers' requests where the
+// others of its region do.
+type LocalityReport struct {
+	_      struct{} `cbor:",toarray"`
+	Region inventory.RegionID
+	Route  inventory.RouteID
+	Part   float64
+}
+
+// localityReports returns the routes of which a part runs in this node's region, at most a message full.
+func (t *Table) localityReports() []LocalityReport {
+	var all []LocalityReport
+	for id, l := range t.localities {
+		if l.region.part > 0 {
+			all = append(all, LocalityReport{Region: t.regions[t.local.Domain], Route: id, Part: l.region.part})
+		}
+	}
+	slices.SortFunc(all, func(a, b LocalityReport) int { return cmp.Compare(b.Part, a.Part) })
+	return all[:min(len(all), maxLocalitiesTold)]
+}
+
+// learnLocality takes over the part of a route that another node of the region tells, unless this node has
+// served requests of the route.
+func (t *Table) learnLocality(now time.Time, r LocalityReport) {
+	if r.Region != t.regions[t.local.Domain] || !(r.Part >= 0 && r.Part <= 1) {
+		return
+	}
+	if l := t.locality(r.Route); l.requests.value(now) < 1 {
+		l.region.part = max(l.region.part, r.Part)
+	}
+}
--- a/endpoint/move.go
+++ b/endpoint/move.go
@@ -9,6 +9,7 @@
 	MoveLocal    Move = "local"    // the primary endpoint of the caller's failure domain is preferred
 	MoveWarmup   Move = "warmup"   // the first endpoint is warming up
 	MoveCost     Move = "cost"     // another candidate is expected to respond sooner, or to cost less
+	MoveHeld     Move = "held"     // the region that ranks first is another one, to which the bound on shifts lets no more requests move yet
 	MoveIsolated Move = "isolated" // the request may crash the endpoint
 )
 
--- /dev/null
+++ b/endpoint/region.go
@@ -0,0 +1,265 @@
+package endpoint
+
+// The region in which a request runs. All nodes see the same registrations, round trips, weights and
+// drains at nearly the same moment, so a region that follows from these alone changes for all requests at
+// once. Here the region of an object is state, which follows them at a bounded rate (shift.go).
+//
+// An object begins in the region of the endpoint that ranks first for it. All nodes rank alike, so nodes that
+// start agree with the others unless a change is under way. In a service to which its route sends requests from
+// now on, it begins in the region where it was.
+//
+// Within its region, a request goes to the endpoint of the lowest cost. Requests that find no usable
+// endpoint in their region leave it at once.
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+const (
+	// maxPlaced bounds the objects of a service whose regions are remembered, some 150 bytes each.
+	maxPlaced = 8192
+	// minPlacedLoad is the count of requests below which an object is forgotten if there are too many.
+	minPlacedLoad = 0.05
+	// placedSweepTime is the time between two searches for what may be forgotten, which look at all.
+	placedSweepTime = time.Second
+	// anonymousKeys is the number of keys that stand for the objects of requests without one.
+	anonymousKeys = 256
+	regionSalt    = 0xd1342543de82ef95 // any value that other hashes of objects do not use
+)
+
+// region is a region of the deployment. Regions are compared by identity.
+type region struct{ id inventory.RegionID }
+
+// newRegions returns the regions by failure domain, and their number.
+func newRegions(of Regions) (byDomain map[inventory.DomainID]*region, count int) {
+	byDomain, byID := map[inventory.DomainID]*region{}, map[inventory.RegionID]*region{}
+	for d, id := range of {
+		if byID[id] == nil {
+			byID[id] = &region{id: id}
+		}
+		byDomain[d] = byID[id]
+	}
+	return byDomain, len(byID)
+}
+
+// placementKey identifies an object among the requests with the same home regions.
+type placementKey uint64
+
+// placementKey returns the key of a request. Requests without an object are spread over some keys.
+func (q Query) placementKey() placementKey {
+	key := uint64(q.Object)
+	if q.Object == 0 {
+		key = q.Seed % anonymousKeys
+	}
+	if len(q.Homes) > 0 {
+		var homes strings.Builder
+		for _, h := range q.Homes {
+			homes.WriteString(string(h) + "\x00")
+		}
+		key ^= xxhash.Sum64String(homes.String())
+	}
+	return placementKey(key)
+}
+
+// placement is the region of an object's requests. While it moves, a part of them runs in the next one.
+type placement struct {
+	from, to *region
+	part     float64      // of the requests that run in to
+	requests recentCount  // of this node
+	first    *region      // of the endpoint that ranks first, as of ranking
+	ranking  rankingCount // of the service
+}
+
+// rankingCount counts the changes of the endpoints of a service that are ranked first.
+type rankingCount uint64
+
+// settle places all requests in a region.
+func (l *placement) settle(r *region) { l.from, l.to, l.part = r, r, 0 }
+
+// region returns the region of a request.
+func (l *placement) region(seed uint64) *region {
+	if l.part > 0 && float64(mix(seed^regionSalt)>>11)/(1<<53) < l.part {
+		return l.to
+	}
+	return l.from
+}
+
+// place returns the region in which a request runs, and why it is not the region that ranks first; nil:
+// any region.
+func (t *Table) place(now time.Time, p *pool, q Query) (*region, Move) {
+	if t.regionCount < 2 || len(q.Homes) == 1 || q.Isolated {
+		return nil, ""
+	}
+	if p.isStale {
+		t.refreshRanking(now, p)
+	}
+	l := t.placement(now, p, q)
+	if l == nil || l.first == nil {
+		return nil, ""
+	}
+	t.shifts.record(now, l)
+	t.shifts.move(now, l, l.first, p.isFailing(now, l.from, t.bounds.Recovery))
+	switch r := t.preferRegion(now, p, q, l.region(q.Seed)); r {
+	case l.first:
+		return r, ""
+	case t.domainRegions[t.local.Domain]:
+		return r, MoveLocal
+	default:
+		return r, MoveHeld
+	}
+}
+
+// placement returns the placement of a request; nil: too many others are remembered.
+func (t *Table) placement(now time.Time, p *pool, q Query) *placement {
+	key := q.placementKey()
+	l := p.placements[key]
+	if l != nil {
+		if l.ranking != p.ranking {
+			l.first, l.ranking = t.firstRegion(now, p, q), p.ranking
+		}
+		return l
+	}
+	if len(p.placements) >= maxPlaced && !p.forgetPlacements(now) {
+		return nil
+	}
+	l = &placement{first: t.firstRegion(now, p, q), ranking: p.ranking}
+	l.settle(l.first)
+	if former := t.formerRegion(key, p); former != nil {
+		l.settle(former)
+	}
+	p.placements[key] = l
+	return l
+}
+
+// formerRegion returns the region of an object in another service, if the service has endpoints there;
+// else nil.
+func (t *Table) formerRegion(key placementKey, p *pool) *region {
+	for _, other := range t.services {
+		if l := other.placements[key]; l != nil && other != p && p.hasCounted(l.from) {
+			return l.from
+		}
+	}
+	return nil
+}
+
+// forgetPlacements forgets objects that are rarely requested, and reports whether there is room.
+func (p *pool) forgetPlacements(now time.Time) bool {
+	if now.Sub(p.placementsSweptAt) < placedSweepTime {
+		return false
+	}
+	p.placementsSweptAt = now
+	for key, l := range p.placements {
+		if l.requests.value(now) < minPlacedLoad {
+			delete(p.placements, key)
+		}
+	}
+	return len(p.placements) < maxPlaced
+}
+
+// firstRegion returns the region of the endpoint that ranks first for a request, nil if there is none.
+func (t *Table) firstRegion(now time.Time, p *pool, q Query) *region {
+	if q.Object == 0 {
+		q.Seed = mix(q.Seed%anonymousKeys ^ regionSalt)
+	}
+	var first candidate
+	for _, s := range p.endpoints {
+		if !s.counted || s.region == nil || len(q.Homes) > 0 && !slices.Contains(q.Homes, s.region.id) {
+			continue
+		}
+		if u := unitHash(q.key(), s); float64(s.Slots) > first.score*(1-u) {
+			if sc := score(u, s); sc > first.score {
+				first = candidate{state: s, score: sc}
+			}
+		}
+	}
+	if first.state == nil {
+		return nil
+	}
+	return first.state.region
+}
+
+// hasCounted reports whether an endpoint in a region is ranked.
+func (p *pool) hasCounted(r *region) bool {
+	return slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return s.counted && s.region == r })
+}
+
+// isLeaving reports whether the endpoint leaves in order.
+func (s *endpointState) isLeaving() bool { return s.Draining || s.leaving.said }
+
+// isCounted reports whether an endpoint is ranked. What passes within a moment, as a pause or a limit,
+// does not change that.
+func (t *Table) isCounted(now time.Time, s *endpointState) bool {
+	return !s.isLeaving() && !s.replaced && !t.drained[s.Domain] && s.health.usable(now) && !s.warmup.active(now)
+}
+
+// refreshRanking determines the endpoints of a service that are ranked. If none is fit, all are.
+func (t *Table) refreshRanking(now time.Time, p *pool) {
+	p.isStale = false
+	some := slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return t.isCounted(now, s) })
+	for _, s := range p.endpoints {
+		counted := !some || t.isCounted(now, s)
+		if counted == s.counted {
+			continue
+		}
+		if !counted && !s.isLeaving() {
+			p.recordFailure(now, s.region)
+		}
+		s.counted = counted
+		p.ranking++
+	}
+}
+
+// recordFailure records that endpoints in a region were lost that did not leave in order.
+func (p *pool) recordFailure(now time.Time, r *region) { p.failedAt[r] = now }
+
+// isFailing reports whether endpoints in a region were lost lately. Objects whose first endpoint is
+// elsewhere now leave it at once.
+func (p *pool) isFailing(now time.Time, r *region, recovery time.Duration) bool {
+	at, ok := p.failedAt[r]
+	return ok && now.Sub(at) < recovery
+}
+
+// forgetRank records that an endpoint is no longer in the table.
+func (s *endpointState) forgetRank(now time.Time) {
+	if !s.counted {
+		return
+	}
+	s.pool.ranking++
+	if !s.isLeaving() {
+		s.pool.recordFailure(now, s.region)
+	}
+}
+
+// rankPlaced ranks the usable endpoints of the region in which a request runs. If it has none, the
+// request leaves the region: at once if they have failed or are gone, else within the bound.
+func (t *Table) rankPlaced(now time.Time, p *pool, q Query) (ranking, Move, Reason) {
+	r, move := t.place(now, p, q)
+	q.within = r
+	ranked, reason := t.rank(now, p, q)
+	if r == nil || reason == "" {
+		return ranked, move, reason
+	}
+	q.within = nil
+	elsewhere, none := t.rank(now, p, q)
+	if none != "" {
+		return elsewhere, move, none
+	}
+	switch reason {
+	case ReasonPause, ReasonLimit, ReasonCold:
+		if !t.shifts.spill(now) {
+			return ranked, move, reason
+		}
+	case ReasonTried:
+	default:
+		if l := p.placements[q.placementKey()]; l.region(q.Seed) == r {
+			l.settle(elsewhere.best[0].state.region)
+		}
+	}
+	return elsewhere, Move(reason), ""
+}
--- a/endpoint/shift_test.go
+++ b/endpoint/shift_test.go
@@ -57,22 +57,31 @@
 			regions[inventory.DomainID(fmt.Sprintf("d%d-%d", r, d))] = inventory.RegionID(fmt.Sprintf("r%d", r))
 		}
 	}
-	bounds := Bounds{Excess: 1.5, Slack: 5, Grace: 2 * time.Second, Shift: cmp.Or(s.bound, shiftMax)}
 	for i := range 3 * s.nodes {
-		t := New(regions, bounds)
-		t.SetServices([]inventory.Service{{ID: "s"}, {ID: "u"}})
-		t.SetLocalDomain(LocalDomain{Domain: inventory.DomainID(fmt.Sprintf("d%d-%d", i%3, i/3%2)), Share: 1.0 / 6})
-		for _, service := range []inventory.ServiceID{"s", "u"} {
-			for r, count := range []int{3, 1, 3} {
-				for d := range 2 {
-					for number := range count {
-						t.Register(epoch, s.endpoint(service, r, d, number))
-					}
+		s.tables = append(s.tables, s.table(regions, i))
+	}
+}
+
+// table returns the table of a node that starts.
+func (s *shiftSimulation) table(regions Regions, node int) *Table {
+	t := New(regions, Bounds{Excess: 1.5, Slack: 5, Grace: 2 * time.Second, Shift: cmp.Or(s.bound, shiftMax)})
+	t.SetServices([]inventory.Service{{ID: "s"}, {ID: "u"}})
+	t.SetLocalDomain(shiftLocation(node, 1.0/6))
+	for _, service := range []inventory.ServiceID{"s", "u"} {
+		for r, count := range []int{3, 1, 3} {
+			for d := range 2 {
+				for number := range count {
+					t.Register(epoch, s.endpoint(service, r, d, number))
 				}
 			}
 		}
-		s.tables = append(s.tables, t)
 	}
+	return t
+}
+
+// shiftLocation returns the location of a node, with the share of callers of its failure domain.
+func shiftLocation(node int, share float64) LocalDomain {
+	return LocalDomain{Domain: inventory.DomainID(fmt.Sprintf("d%d-%d", node%3, node/3%2)), Share: share, RegionShare: 1.0 / 3}
 }
 
 // all applies a change to all nodes.
@@ -95,7 +104,8 @@
 				for k := range rate {
 					n++
 					at := time.Duration(w)*shiftWindow + time.Duration((float64(k)+float64(o)/float64(s.objects))/float64(rate)*float64(shiftWindow))
-					s.events.At(epoch.Add(at), func(now time.Time) { s.send(now, i, o, uint64(n)+uint64(w)<<32) })
+					seed := uint64(n) + uint64(w)<<32
+					s.events.At(epoch.Add(at), func(now time.Time) { s.send(now, i, o, seed) })
 				}
 			}
 		}
@@ -196,11 +206,12 @@
 		"an objective becomes short":     {goal: func(now time.Duration) time.Duration { return goalAt(now, 600*time.Millisecond, 300*time.Millisecond) }},
 		"an objective becomes long":      {goal: func(now time.Duration) time.Duration { return goalAt(now, 300*time.Millisecond, 600*time.Millisecond) }},
 		"the share of callers falls":     {goal: func(time.Duration) time.Duration { return 300 * time.Millisecond }, event: shareOfCallers(0.02)},
+		"a quarter of the nodes start":   {event: restarts},
 		"the drain of a domain ends":     {event: drainEnds},
 		"a smaller bound in the setting": {bound: 0.06, event: joining(1, 12)},
 	}
 	for name, s := range cases {
-		for _, nodes := range []int{2, 60} {
+		for _, nodes := range []int{4, 60} {
 			t.Run(fmt.Sprintf("%s, %d nodes", name, 3*nodes), func(t *testing.T) {
 				s := s
 				s.nodes, s.objects, s.rate = nodes, cmp.Or(s.objects, 90), cmp.Or(s.rate, 1)
@@ -235,11 +246,20 @@
 func shareOfCallers(share float64) func(s *shiftSimulation, now time.Time) {
 	return func(s *shiftSimulation, _ time.Time) {
 		for i, t := range s.tables {
-			t.SetLocalDomain(LocalDomain{Domain: inventory.DomainID(fmt.Sprintf("d%d-%d", i%3, i/3%2)), Share: share})
+			t.SetLocalDomain(shiftLocation(i, share))
 		}
 	}
 }
 
+// restarts is the event in which the first nodes of each region start again, and subscribe to others.
+func restarts(s *shiftSimulation, now time.Time) {
+	for i := range 3 * (s.nodes / 4) {
+		told, _ := s.tables[len(s.tables)-3+i%3].GossipSince(now, GossipPosition{})
+		s.tables[i] = s.table(s.tables[i].regions, i)
+		s.tables[i].Learn(now, told)
+	}
+}
+
 // drainEnds is the event in which a region's endpoints, which were drained before, are used again.
 func drainEnds(s *shiftSimulation, now time.Time) {
 	domains := []inventory.DomainID{"d0-0", "d0-1"}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -44,6 +44,9 @@
 	// Shift is the share of a region's requests that may change the region in which they run from
 	// one window of two seconds to the next; 0: unlimited.
 	Shift float64
+	// Recovery is the time after the loss of endpoints in which requests leave their region without
+	// that bound.
+	Recovery time.Duration
 }
 
 // Table holds the state of all endpoints as one node sees it.
@@ -60,6 +63,10 @@
 	serviceTimes   map[inventory.RouteID]*serviceTimes
 	coldSenders    ColdSenders
 	local          LocalDomain
+	localities     map[inventory.RouteID]*locality
+	domainRegions  map[inventory.DomainID]*region
+	regionCount    int
+	shifts         shifts
 	roundTrips     map[inventory.DomainID]time.Duration // absent: not measured yet
 	replicas       replicaLog
 	reports        reportLog
@@ -78,20 +85,28 @@
 
 // pool holds the endpoints of one service.
 type pool struct {
-	service     inventory.Service
-	endpoints   []*endpointState // sorted by id
-	locations   *locations
-	serviceTime average // mean time in seconds that a request occupies a slot
-	utilization float64 // smoothed number of requests per slot
-	lossShare   float64 // share of requests whose endpoint had evicted the object
+	service           inventory.Service
+	endpoints         []*endpointState // sorted by id
+	locations         *locations
+	serviceTime       average // mean time in seconds that a request occupies a slot
+	utilization       float64 // smoothed number of requests per slot
+	lossShare         float64 // share of requests whose endpoint had evicted the object
+	placements        map[placementKey]*placement
+	placementsSweptAt time.Time
+	ranking           rankingCount
+	rooms             map[*region]room
+	isStale           bool                  // endpoints may be ranked otherwise now
+	failedAt          map[*region]time.Time // when endpoints of a region were last lost that did not leave in order
 }
 
 // endpointState holds the registration, load, health and warm-up of one endpoint.
 type endpointState struct {
 	inventory.Endpoint
 	*statements
-	hash uint64
-	pool *pool
+	hash    uint64
+	pool    *pool
+	region  *region // nil: its failure domain is not declared
+	counted bool    // among those that are ranked
 
 	inFlight         int
 	isolating        int       // requests of this node in flight that may crash the endpoint
@@ -106,18 +121,23 @@
 
 // New returns an empty table.
 func New(regions Regions, b Bounds) *Table {
+	byDomain, count := newRegions(regions)
 	return &Table{
-		bounds:       b,
-		regions:      regions,
-		byID:         map[inventory.EndpointID]*endpointState{},
-		byHash:       map[Hash]*endpointState{},
-		services:     map[inventory.ServiceID]*pool{},
-		drained:      map[inventory.DomainID]bool{},
-		serviceTimes: map[inventory.RouteID]*serviceTimes{},
-		roundTrips:   map[inventory.DomainID]time.Duration{},
-		former:       formerStarts{},
-		undrained:    undrains{at: map[inventory.DomainID]time.Time{}},
-		reports:      reportLog{changed: make(chan struct{})},
+		localities:    map[inventory.RouteID]*locality{},
+		domainRegions: byDomain,
+		regionCount:   count,
+		shifts:        shifts{bound: b.Shift},
+		bounds:        b,
+		regions:       regions,
+		byID:          map[inventory.EndpointID]*endpointState{},
+		byHash:        map[Hash]*endpointState{},
+		services:      map[inventory.ServiceID]*pool{},
+		drained:       map[inventory.DomainID]bool{},
+		serviceTimes:  map[inventory.RouteID]*serviceTimes{},
+		roundTrips:    map[inventory.DomainID]time.Duration{},
+		former:        formerStarts{},
+		undrained:     undrains{at: map[inventory.DomainID]time.Time{}},
+		reports:       reportLog{changed: make(chan struct{})},
 	}
 }
 
@@ -134,7 +154,7 @@
 func (t *Table) pool(id inventory.ServiceID) *pool {
 	p := t.services[id]
 	if p == nil {
-		p = &pool{service: inventory.Service{ID: id}, locations: newLocations()}
+		p = &pool{service: inventory.Service{ID: id}, locations: newLocations(), placements: map[placementKey]*placement{}, failedAt: map[*region]time.Time{}}
 		t.services[id] = p
 	}
 	return p
@@ -166,7 +186,8 @@
 		}
 	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
-	s.Endpoint = e
+	s.Endpoint, s.region = e, t.domainRegions[e.Domain]
+	s.pool.isStale = true
 	s.missingSince = time.Time{}
 	s.warmup.extend(now, e.ColdRemaining)
 	return changed
@@ -175,7 +196,8 @@
 func (t *Table) add(now time.Time, e inventory.Endpoint) *endpointState {
 	p := t.pool(e.Service)
 	said, returned := t.takeStatements(e)
-	s := &endpointState{Endpoint: e, statements: said, hash: xxhash.Sum64String(string(e.ID)), pool: p}
+	s := &endpointState{Endpoint: e, statements: said, hash: xxhash.Sum64String(string(e.ID)), pool: p, region: t.domainRegions[e.Domain]}
+	p.isStale = true
 	if returned {
 		s.unconfirmedUntil = now.Add(returnTime)
 	}
@@ -195,6 +217,7 @@
 	if t.byID[s.ID] != s {
 		return
 	}
+	s.forgetRank(now)
 	delete(t.byID, s.ID)
 	delete(t.byHash, Hash(s.hash))
 	t.keepStatements(now, s)
@@ -284,7 +307,10 @@
 	defer t.mu.Unlock()
 	for _, p := range t.services {
 		p.updateUtilization(now)
+		t.refreshRanking(now, p)
+		p.updateRooms(now)
 	}
+	t.forgetLocalities(now)
 	t.dropFormer(now)
 	if !t.storeSettled(now) {
 		return nil
@@ -316,6 +342,9 @@
 		}
 	}
 	t.drained = next
+	for _, p := range t.services {
+		p.isStale = true
+	}
 	slices.Sort(undrained)
 	for _, d := range undrained {
 		t.recordUndrain(now, d)
@@ -416,5 +445,5 @@
 func (t *Table) SetBounds(b Bounds) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.bounds = b
+	t.bounds, t.shifts.bound = b, b.Shift
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -359,19 +359,23 @@
 	klog.InfoS("entries", "count", len(ids), "changed", len(events))
 }
 
-// location returns this node's failure domain, with the share of callers that its nodes
-// serve. The share is proportional to their processor shares.
+// location returns this node's failure domain, with the shares of callers that its nodes and those of
+// its region serve. The shares are proportional to their processor shares.
 func (n *Node) location(entries []member.Entry) endpoint.LocalDomain {
-	local := endpoint.LocalDomain{Domain: n.settings.Load().Domain, Share: 1}
-	own, all := 0.0, 0.0
+	settings := n.settings.Load()
+	local := endpoint.LocalDomain{Domain: settings.Domain, Share: 1, RegionShare: 1}
+	domain, region, all := 0.0, 0.0, 0.0
 	for _, e := range entries {
 		all += e.Share
 		if e.Domain == local.Domain {
-			own += e.Share
+			domain += e.Share
+		}
+		if e.Region == settings.region() {
+			region += e.Share
 		}
 	}
-	if own > 0 {
-		local.Share = own / all
+	if domain > 0 {
+		local.Share, local.RegionShare = domain/all, region/all
 	}
 	return local
 }
--- a/node/node.go
+++ b/node/node.go
@@ -235,7 +235,7 @@
 }
 
 func (b Bounds) endpointBounds() endpoint.Bounds {
-	return endpoint.Bounds{Excess: b.Cold.Excess, Slack: b.Cold.Slack, Grace: storeGrace, Shift: b.Shift}
+	return endpoint.Bounds{Excess: b.Cold.Excess, Slack: b.Cold.Slack, Grace: storeGrace, Shift: b.Shift, Recovery: b.Recovery.Duration}
 }
 
 func (s Settings) regions() endpoint.Regions {
