endpoint: failure domains that the settings don't name are a region of their own

Their endpoints got requests only if a service had no others, since a region without a name ranked nowhere. Also: the former region of an object is that of the service where it was requested most, so that nodes agree; a region that is no home is not preferred; half as many objects are remembered.

--- a/endpoint/local.go
+++ b/endpoint/local.go
@@ -107,8 +107,8 @@
 
 // preferRegion returns this node's region if a request is to run there, else the region of its placement.
 func (t *Table) preferRegion(now time.Time, p *pool, q Query, r *region) *region {
-	home := t.domainRegions[t.local.Domain]
-	if q.Object == 0 || home == nil || t.local.RegionShare == 0 {
+	home := t.regionTable.of(t.local.Domain)
+	if q.Object == 0 || t.local.RegionShare == 0 || len(q.Homes) > 0 && !slices.Contains(q.Homes, home.id) {
 		return r
 	}
 	l := t.locality(q.Route)
@@ -203,7 +203,7 @@
 	if saved < l.least || primary.state == best[0].state || uniform(q.Object) >= l.part {
 		return best
 	}
-	q.within = t.domainRegions[t.local.Domain]
+	q.within = t.regionTable.of(t.local.Domain)
 	ranked, reason := t.rank(now, p, q)
 	if reason != "" {
 		return best
--- a/endpoint/region.go
+++ b/endpoint/region.go
@@ -23,7 +23,7 @@
 
 const (
 	// maxPlaced bounds the objects of a service whose regions are remembered, some 150 bytes each.
-	maxPlaced = 8192
+	maxPlaced = 4096
 	// minPlacedLoad is the count of requests below which an object is forgotten if there are too many.
 	minPlacedLoad = 0.05
 	// placedSweepTime is the time between two searches for what may be forgotten, which look at all.
@@ -36,16 +36,32 @@
 // region is a region of the deployment. Regions are compared by identity.
 type region struct{ id inventory.RegionID }
 
-// newRegions returns the regions by failure domain, and their number.
-func newRegions(of Regions) (byDomain map[inventory.DomainID]*region, count int) {
-	byDomain, byID := map[inventory.DomainID]*region{}, map[inventory.RegionID]*region{}
+// regionTable holds the regions of the failure domains.
+type regionTable struct {
+	byDomain   map[inventory.DomainID]*region
+	undeclared *region // of all failure domains that the settings don't name
+	count      int     // without undeclared
+}
+
+func newRegionTable(of Regions) regionTable {
+	rt := regionTable{byDomain: map[inventory.DomainID]*region{}, undeclared: &region{}}
+	byID := map[inventory.RegionID]*region{}
 	for d, id := range of {
 		if byID[id] == nil {
 			byID[id] = &region{id: id}
 		}
-		byDomain[d] = byID[id]
+		rt.byDomain[d] = byID[id]
+	}
+	rt.count = len(byID)
+	return rt
+}
+
+// of returns the region of a failure domain.
+func (rt regionTable) of(d inventory.DomainID) *region {
+	if r := rt.byDomain[d]; r != nil {
+		return r
 	}
-	return byDomain, len(byID)
+	return rt.undeclared
 }
 
 // placementKey identifies an object among the requests with the same home regions.
@@ -93,7 +109,7 @@
 // place returns the region in which a request runs, and why it is not the region that ranks first; nil:
 // any region.
 func (t *Table) place(now time.Time, p *pool, q Query) (*region, Move) {
-	if t.regionCount < 2 || len(q.Homes) == 1 || q.Isolated {
+	if t.regionTable.count < 2 || len(q.Homes) == 1 || q.Isolated {
 		return nil, ""
 	}
 	if p.isStale {
@@ -108,7 +124,7 @@
 	switch r := t.preferRegion(now, p, q, l.region(q.Seed)); r {
 	case l.first:
 		return r, ""
-	case t.domainRegions[t.local.Domain]:
+	case t.regionTable.of(t.local.Domain):
 		return r, MoveLocal
 	default:
 		return r, MoveHeld
@@ -121,31 +137,33 @@
 	l := p.placements[key]
 	if l != nil {
 		if l.ranking != p.ranking {
-			l.first, l.ranking = t.firstRegion(now, p, q), p.ranking
+			l.first, l.ranking = t.firstRegion(p, q), p.ranking
 		}
 		return l
 	}
 	if len(p.placements) >= maxPlaced && !p.forgetPlacements(now) {
 		return nil
 	}
-	l = &placement{first: t.firstRegion(now, p, q), ranking: p.ranking}
+	l = &placement{first: t.firstRegion(p, q), ranking: p.ranking}
 	l.settle(l.first)
-	if former := t.formerRegion(key, p); former != nil {
+	if former := t.formerRegion(now, key, p); former != nil && q.Object != 0 {
 		l.settle(former)
 	}
 	p.placements[key] = l
 	return l
 }
 
-// formerRegion returns the region of an object in another service, if the service has endpoints there;
-// else nil.
-func (t *Table) formerRegion(key placementKey, p *pool) *region {
+// formerRegion returns the region of an object in the service where it was requested most, if this one has
+// endpoints there; else nil.
+func (t *Table) formerRegion(now time.Time, key placementKey, p *pool) *region {
+	var former *region
+	most := 0.0
 	for _, other := range t.services {
-		if l := other.placements[key]; l != nil && other != p && p.hasCounted(l.from) {
-			return l.from
+		if l := other.placements[key]; l != nil && other != p && l.requests.value(now) > most && p.hasCounted(l.from) {
+			former, most = l.from, l.requests.value(now)
 		}
 	}
-	return nil
+	return former
 }
 
 // forgetPlacements forgets objects that are rarely requested, and reports whether there is room.
@@ -163,13 +181,13 @@
 }
 
 // firstRegion returns the region of the endpoint that ranks first for a request, nil if there is none.
-func (t *Table) firstRegion(now time.Time, p *pool, q Query) *region {
+func (t *Table) firstRegion(p *pool, q Query) *region {
 	if q.Object == 0 {
 		q.Seed = mix(q.Seed%anonymousKeys ^ regionSalt)
 	}
 	var first candidate
 	for _, s := range p.endpoints {
-		if !s.counted || s.region == nil || len(q.Homes) > 0 && !slices.Contains(q.Homes, s.region.id) {
+		if !s.counted || len(q.Homes) > 0 && !slices.Contains(q.Homes, s.region.id) {
 			continue
 		}
 		if u := unitHash(q.key(), s); float64(s.Slots) > first.score*(1-u) {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -64,8 +64,7 @@
 	coldSenders    ColdSenders
 	local          LocalDomain
 	localities     map[inventory.RouteID]*locality
-	domainRegions  map[inventory.DomainID]*region
-	regionCount    int
+	regionTable    regionTable
 	shifts         shifts
 	roundTrips     map[inventory.DomainID]time.Duration // absent: not measured yet
 	replicas       replicaLog
@@ -105,8 +104,8 @@
 	*statements
 	hash    uint64
 	pool    *pool
-	region  *region // nil: its failure domain is not declared
-	counted bool    // among those that are ranked
+	region  *region
+	counted bool // among those that are ranked
 
 	inFlight         int
 	isolating        int       // requests of this node in flight that may crash the endpoint
@@ -121,23 +120,21 @@
 
 // New returns an empty table.
 func New(regions Regions, b Bounds) *Table {
-	byDomain, count := newRegions(regions)
 	return &Table{
-		localities:    map[inventory.RouteID]*locality{},
-		domainRegions: byDomain,
-		regionCount:   count,
-		shifts:        shifts{bound: b.Shift},
-		bounds:        b,
-		regions:       regions,
-		byID:          map[inventory.EndpointID]*endpointState{},
-		byHash:        map[Hash]*endpointState{},
-		services:      map[inventory.ServiceID]*pool{},
-		drained:       map[inventory.DomainID]bool{},
-		serviceTimes:  map[inventory.RouteID]*serviceTimes{},
-		roundTrips:    map[inventory.DomainID]time.Duration{},
-		former:        formerStarts{},
-		undrained:     undrains{at: map[inventory.DomainID]time.Time{}},
-		reports:       reportLog{changed: make(chan struct{})},
+		localities:   map[inventory.RouteID]*locality{},
+		regionTable:  newRegionTable(regions),
+		shifts:       shifts{bound: b.Shift},
+		bounds:       b,
+		regions:      regions,
+		byID:         map[inventory.EndpointID]*endpointState{},
+		byHash:       map[Hash]*endpointState{},
+		services:     map[inventory.ServiceID]*pool{},
+		drained:      map[inventory.DomainID]bool{},
+		serviceTimes: map[inventory.RouteID]*serviceTimes{},
+		roundTrips:   map[inventory.DomainID]time.Duration{},
+		former:       formerStarts{},
+		undrained:    undrains{at: map[inventory.DomainID]time.Time{}},
+		reports:      reportLog{changed: make(chan struct{})},
 	}
 }
 
@@ -186,7 +183,7 @@
 		}
 	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
-	s.Endpoint, s.region = e, t.domainRegions[e.Domain]
+	s.Endpoint, s.region = e, t.regionTable.of(e.Domain)
 	s.pool.isStale = true
 	s.missingSince = time.Time{}
 	s.warmup.extend(now, e.ColdRemaining)
@@ -196,7 +193,7 @@
 func (t *Table) add(now time.Time, e inventory.Endpoint) *endpointState {
 	p := t.pool(e.Service)
 	said, returned := t.takeStatements(e)
-	s := &endpointState{Endpoint: e, statements: said, hash: xxhash.Sum64String(string(e.ID)), pool: p, region: t.domainRegions[e.Domain]}
+	s := &endpointState{Endpoint: e, statements: said, hash: xxhash.Sum64String(string(e.ID)), pool: p, region: t.regionTable.of(e.Domain)}
 	p.isStale = true
 	if returned {
 		s.unconfirmedUntil = now.Add(returnTime)
