endpoint: hysteresis of the part of a route that runs in the callers' region

The part followed every small change of utilization, so objects moved back and forth within the bound, each time with a cold run. Tried without a gain: the preference of a region that has lost endpoints ends at once.

--- a/endpoint/local.go
+++ b/endpoint/local.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	// regionThreshold is the share of the objective from which a round trip between regions counts as
 	// long: objects have a primary endpoint in each region, as far as it has room.
 	regionThreshold = 0.08
+	// regionHysteresis keeps objects from moving on every small change of utilization.
+	regionHysteresis = 0.25
 	// callersShare is the part of a region's slots for its own callers. The rest is for objects that have
 	// their only primary endpoint there.
 	callersShare = 0.8
@@ -126,6 +129,9 @@
 	if isLong {
 		target = room.part() * min(1, callersShare*room.share/t.local.RegionShare)
 	}
+	if target > 0 && math.Abs(target-l.region.part) < regionHysteresis {
+		target = l.region.part
+	}
 	if r == home {
 		l.placed.add(now)
 	}
