--- /dev/null
+++ b/endpoint/region_test.go
@@ -0,0 +1,124 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/wasabiwheel/wasabiwheel/inventory"
+)
+
+// boundedTable returns the table of a node that has served each of the objects from 1 on.
+func boundedTable(topo topology, objects int) *Table {
+	t := topo.table()
+	t.SetBounds(Bounds{Excess: 1.5, Slack: 5, Shift: 0.15, Recovery: 3 * time.Second})
+	for range 5 {
+		for o := range objects {
+			if c, reason := t.Choose(epoch, query(spread(o))); reason == "" {
+				serve(t, epoch, c, 100*time.Millisecond)
+			}
+		}
+	}
+	return t
+}
+
+func spread(o int) Object { return Object(mix(uint64(o + 1))) }
+
+// served returns the number of objects whose requests run in a region, and of those that are rejected.
+func served(t *Table, now time.Time, objects int, r inventory.RegionID) (here, rejected int) {
+	for o := range objects {
+		switch c, reason := t.Choose(now, query(spread(o))); {
+		case reason != "":
+			rejected++
+		case c.Region == r:
+			here++
+		}
+	}
+	return here, rejected
+}
+
+// TestLostRegionsAreLeftAtOnce guards against a bound on shifts that keeps requests where nothing serves them.
+func TestLostRegionsAreLeftAtOnce(t *testing.T) {
+	topo := topology{3, 2, 3, 6}
+	all := func(table *Table, do func(e inventory.Endpoint)) {
+		for d := range topo.domains {
+			for i := range topo.endpoints {
+				do(topo.endpoint(0, d, i))
+			}
+		}
+	}
+	cases := map[string]func(table *Table, now time.Time){
+		"unreachable": func(table *Table, now time.Time) {
+			all(table, func(e inventory.Endpoint) { table.byID[e.ID].health.recordUnreachable(now) })
+		},
+		"gone": func(table *Table, now time.Time) {
+			all(table, func(e inventory.Endpoint) { table.Removed(now, e.ID) })
+		},
+		"draining": func(table *Table, now time.Time) {
+			all(table, func(e inventory.Endpoint) { e.Draining = true; table.Register(now, e) })
+		},
+		"drained by operators": func(table *Table, now time.Time) {
+			table.SetDrained(now, []inventory.DomainID{"d0-0", "d0-1"})
+		},
+	}
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("All requests run in other regions at once", t, func() {
+				const objects = 300
+				table := boundedTable(topo, objects)
+				here, _ := served(table, epoch, objects, "r0")
+				convey.So(here, convey.ShouldBeGreaterThan, objects/5)
+				now := epoch.Add(time.Second)
+				lose(table, now)
+				here, rejected := served(table, now, objects, "r0")
+				convey.So(here, convey.ShouldEqual, 0)
+				convey.So(rejected, convey.ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+// TestPausedRegionIsLeftWithinBound guards against all requests of a region running elsewhere as soon as its
+// endpoints ask for a pause.
+func TestPausedRegionIsLeftWithinBound(t *testing.T) {
+	convey.Convey("Few requests leave a region whose endpoints all pause, the others are rejected", t, func() {
+		topo := topology{3, 2, 3, 6}
+		const objects = 300
+		table := boundedTable(topo, objects)
+		before, _ := served(table, epoch, objects, "r0")
+		now := epoch.Add(time.Second)
+		for d := range topo.domains {
+			for i := range topo.endpoints {
+				s := table.byID[topo.endpoint(0, d, i).ID]
+				table.RecordPause(now, Choice{state: s}, time.Minute)
+			}
+		}
+		here, rejected := served(table, now, objects, "r0")
+		convey.So(here, convey.ShouldEqual, 0)
+		convey.So(rejected, convey.ShouldBeBetween, before-objects/20, before+1)
+	})
+}
+
+// TestNodesThatStartTakeOverTheLocality guards against callers of a node that starts being served in
+// other regions than those of its neighbours.
+func TestNodesThatStartTakeOverTheLocality(t *testing.T) {
+	cases := map[string]struct {
+		told LocalityReport
+		want float64
+	}{
+		"neighbour of the region": {LocalityReport{Region: "r0", Route: "r", Part: 0.75}, 0.75},
+		"node of another region":  {LocalityReport{Region: "r1", Route: "r", Part: 0.75}, 0},
+		"more than all":           {LocalityReport{Region: "r0", Route: "r", Part: 1.5}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("The part of the route", t, func() {
+				table := topology{3, 1, 2, 3}.table()
+				table.SetLocalDomain(LocalDomain{Domain: "d0-0", Share: 1, RegionShare: 1})
+				table.Learn(epoch, Gossip{Localities: []LocalityReport{c.told}})
+				convey.So(table.locality("r").region.part, convey.ShouldEqual, c.want)
+			})
+		})
+	}
+}
