--- a/endpoint/region_test.go
+++ b/endpoint/region_test.go
@@ -41,7 +41,7 @@
 // TestLostRegionsAreLeftAtOnce guards against a bound on shifts that keeps requests where nothing serves them.
 func TestLostRegionsAreLeftAtOnce(t *testing.T) {
 	topo := topology{3, 2, 3, 6}
-	all := func(table *Table, do func(e inventory.Endpoint)) {
+	all := func(do func(e inventory.Endpoint)) {
 		for d := range topo.domains {
 			for i := range topo.endpoints {
 				do(topo.endpoint(0, d, i))
@@ -50,13 +50,13 @@
 	}
 	cases := map[string]func(table *Table, now time.Time){
 		"unreachable": func(table *Table, now time.Time) {
-			all(table, func(e inventory.Endpoint) { table.byID[e.ID].health.recordUnreachable(now) })
+			all(func(e inventory.Endpoint) { table.byID[e.ID].health.recordUnreachable(now) })
 		},
 		"gone": func(table *Table, now time.Time) {
-			all(table, func(e inventory.Endpoint) { table.Removed(now, e.ID) })
+			all(func(e inventory.Endpoint) { table.Removed(now, e.ID) })
 		},
 		"draining": func(table *Table, now time.Time) {
-			all(table, func(e inventory.Endpoint) { e.Draining = true; table.Register(now, e) })
+			all(func(e inventory.Endpoint) { e.Draining = true; table.Register(now, e) })
 		},
 		"drained by operators": func(table *Table, now time.Time) {
 			table.SetDrained(now, []inventory.DomainID{"d0-0", "d0-1"})
