--- a/endpoint/local.go
+++ b/endpoint/local.go
@@ -4,7 +4,9 @@
 // region: a copy in each failure domain would need a cold run in each of them and evict
 // other objects. On routes whose objective is so short that the round trip is a large part
 // of it, the round trip costs more than that. There, objects have a primary endpoint in
-// each failure domain, as far as the domain has slots for the requests of its callers.
+// each failure domain, as far as the domain has slots for the requests of its callers. On routes for which
+// the way to other regions is long, objects have a primary endpoint in each region, as far as it has room:
+// what goes far also arrives later, so that a region's requests seem to change regions when they begin or end.
 
 import (
 	"cmp"
@@ -154,16 +156,16 @@
 	return min(1, max(0, (fullUtilization-r.utilization)/(fullUtilization-roomyUtilization)))
 }
 
-// hasRanked reports whether an endpoint in a failure domain is ranked.
-func (p *pool) hasRanked(d inventory.DomainID) bool {
-	return slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return s.counted && s.Domain == d })
+// ranksInDomain reports whether an endpoint in a failure domain is ranked.
+func (p *pool) ranksInDomain(d inventory.DomainID) bool {
+	return slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return s.ranked && s.Domain == d })
 }
 
 // updateRooms counts the slots and the requests of a service by region.
 func (p *pool) updateRooms(now time.Time) {
 	slots, requests, all := map[*region]float64{}, map[*region]float64{}, 0.0
 	for _, s := range p.endpoints {
-		if s.counted {
+		if s.ranked {
 			slots[s.region] += float64(s.Slots)
 			requests[s.region] += s.requests(now)
 			all += float64(s.Slots)
@@ -195,7 +197,7 @@
 	q.within = nil
 	primary, share := t.localPrimary(now, p, q)
 	if primary.state == nil {
-		if !p.hasRanked(t.local.Domain) {
+		if !p.ranksInDomain(t.local.Domain) {
 			l.part = 0 // they are lost; the requests return within the bound
 		}
 		return best
--- a/endpoint/region.go
+++ b/endpoint/region.go
@@ -159,7 +159,7 @@
 	var former *region
 	most := 0.0
 	for _, other := range t.services {
-		if l := other.placements[key]; l != nil && other != p && l.requests.value(now) > most && p.hasCounted(l.from) {
+		if l := other.placements[key]; l != nil && other != p && l.requests.value(now) > most && p.ranksIn(l.from) {
 			former, most = l.from, l.requests.value(now)
 		}
 	}
@@ -187,7 +187,7 @@
 	}
 	var first candidate
 	for _, s := range p.endpoints {
-		if !s.counted || len(q.Homes) > 0 && !slices.Contains(q.Homes, s.region.id) {
+		if !s.ranked || len(q.Homes) > 0 && !slices.Contains(q.Homes, s.region.id) {
 			continue
 		}
 		if u := unitHash(q.key(), s); float64(s.Slots) > first.score*(1-u) {
@@ -202,33 +202,33 @@
 	return first.state.region
 }
 
-// hasCounted reports whether an endpoint in a region is ranked.
-func (p *pool) hasCounted(r *region) bool {
-	return slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return s.counted && s.region == r })
+// ranksIn reports whether an endpoint in a region is ranked.
+func (p *pool) ranksIn(r *region) bool {
+	return slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return s.ranked && s.region == r })
 }
 
 // isLeaving reports whether the endpoint leaves in order.
 func (s *endpointState) isLeaving() bool { return s.Draining || s.leaving.said }
 
-// isCounted reports whether an endpoint is ranked. What passes within a moment, as a pause or a limit,
+// mayRank reports whether an endpoint is ranked. What passes within a moment, as a pause or a limit,
 // does not change that.
-func (t *Table) isCounted(now time.Time, s *endpointState) bool {
+func (t *Table) mayRank(now time.Time, s *endpointState) bool {
 	return !s.isLeaving() && !s.replaced && !t.drained[s.Domain] && s.health.usable(now) && !s.warmup.active(now)
 }
 
 // refreshRanking determines the endpoints of a service that are ranked. If none is fit, all are.
 func (t *Table) refreshRanking(now time.Time, p *pool) {
 	p.isStale = false
-	some := slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return t.isCounted(now, s) })
+	some := slices.ContainsFunc(p.endpoints, func(s *endpointState) bool { return t.mayRank(now, s) })
 	for _, s := range p.endpoints {
-		counted := !some || t.isCounted(now, s)
-		if counted == s.counted {
+		ranked := !some || t.mayRank(now, s)
+		if ranked == s.ranked {
 			continue
 		}
-		if !counted && !s.isLeaving() {
+		if !ranked && !s.isLeaving() {
 			p.recordFailure(now, s.region)
 		}
-		s.counted = counted
+		s.ranked = ranked
 		p.ranking++
 	}
 }
@@ -245,7 +245,7 @@
 
 // forgetRank records that an endpoint is no longer in the table.
 func (s *endpointState) forgetRank(now time.Time) {
-	if !s.counted {
+	if !s.ranked {
 		return
 	}
 	s.pool.ranking++
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -102,10 +102,10 @@
 type endpointState struct {
 	inventory.Endpoint
 	*statements
-	hash    uint64
-	pool    *pool
-	region  *region
-	counted bool // among those that are ranked
+	hash   uint64
+	pool   *pool
+	region *region
+	ranked bool // among those of which one ranks first for an object
 
 	inFlight         int
 	isolating        int       // requests of this node in flight that may crash the endpoint
