endpoint: place objects that had no region at once

An object that was first requested while no endpoint of its home regions was ranked had no region. Once there was one, its requests moved there within the bound on shifts, and ran anywhere meanwhile, though no request left a region. It is placed where it ranks first now. TestObjectsWithoutARegionGetOneAtOnce failed before (its requests were held).

--- a/endpoint/region_test.go
+++ b/endpoint/region_test.go
@@ -122,3 +122,32 @@
 		})
 	}
 }
+
+// TestObjectsWithoutARegionGetOneAtOnce guards against objects that were first requested while no endpoint could
+// serve them having no region for long.
+func TestObjectsWithoutARegionGetOneAtOnce(t *testing.T) {
+	convey.Convey("All requests run in the region that ranks first once there is one", t, func() {
+		topo := topology{3, 2, 3, 6}
+		const objects = 300
+		table := topo.table()
+		table.SetBounds(Bounds{Excess: 1.5, Slack: 5, Shift: 0.15})
+		homes := []inventory.RegionID{"r0", "r1"}
+		table.SetDrained(epoch, []inventory.DomainID{"d0-0", "d0-1", "d1-0", "d1-1"})
+		for o := range objects {
+			q := query(spread(o))
+			q.Homes = homes
+			_, reason := table.Choose(epoch, q)
+			convey.So(reason, convey.ShouldEqual, ReasonNone)
+		}
+		table.SetDrained(epoch, nil)
+		now := epoch.Add(time.Minute) // they are warm
+		table.Tick(now)
+		for o := range objects {
+			q := query(spread(o))
+			q.Homes = homes
+			c, reason := table.Choose(now, q)
+			convey.So(reason, convey.ShouldEqual, Reason(""))
+			convey.So(c.Moved, convey.ShouldNotEqual, MoveHeld)
+		}
+	})
+}
--- a/endpoint/shift.go
+++ b/endpoint/shift.go
@@ -139,9 +139,9 @@
 	return true
 }
 
-// move moves a placement towards a region: at once if its own is failing, else within the bound.
+// move moves a placement towards a region: at once if its own is failing or it has none, else within the bound.
 func (b *shifts) move(now time.Time, l *placement, want *region, failing bool) {
-	if failing && want != l.from {
+	if l.from == nil || failing && want != l.from {
 		l.settle(want)
 	}
 	if l.part == 0 {
