--- a/endpoint/shift_test.go
+++ b/endpoint/shift_test.go
@@ -36,6 +36,7 @@
 	objects int
 	rate    int     // requests of a node in a window for each object
 	popular int     // multiple of the requests for the first object
+	load    int     // requests of a region in a window, spread over its nodes; 0: by rate
 	slots   int     // of an endpoint; 0: 20 for each node of a region
 	bound   float64 // setting; 0: shiftMax
 	service func(now time.Duration, o int) inventory.ServiceID
@@ -112,6 +113,16 @@
 
 // sendWindow schedules the requests of all nodes in a window.
 func (s *shiftSimulation) sendWindow(w int) {
+	for k := range 3 * s.load {
+		i, n := k%3, k/3
+		node := i + 3*(n*s.nodes/s.load)
+		s.events.At(epoch.Add(time.Duration(w)*shiftWindow+time.Duration(n)*shiftWindow/time.Duration(s.load)), func(now time.Time) {
+			s.send(now, node, n%s.objects, uint64(n)+uint64(w)<<32)
+		})
+	}
+	if s.load > 0 {
+		return
+	}
 	for i := range s.tables {
 		n := 0
 		for o := range s.objects {
@@ -220,20 +231,46 @@
 		"a smaller bound in the setting": {bound: 0.06, event: joining(1, 12)},
 	}
 	simulations := map[string]*shiftSimulation{}
-	var running sync.WaitGroup
-	free := make(chan struct{}, runtime.GOMAXPROCS(0))
 	for name, s := range cases {
 		for _, nodes := range []int{4, 60} {
 			s := s
 			s.nodes, s.objects, s.rate = nodes, cmp.Or(s.objects, 90), cmp.Or(s.rate, 1)
 			simulations[fmt.Sprintf("%s, %d nodes", name, 3*nodes)] = &s
-			running.Go(func() {
-				free <- struct{}{}
-				s.run()
-				<-free
-			})
 		}
 	}
+	checkShifts(t, simulations)
+}
+
+// TestRegionsChangeInStepsAtNodesWithFewRequests guards against a bound that holds for each node, but not for
+// the same load on more of them.
+func TestRegionsChangeInStepsAtNodesWithFewRequests(t *testing.T) {
+	cases := map[string]shiftSimulation{
+		"endpoints join in one region": {event: joining(1, 12)},
+		"an objective becomes short":   {goal: func(now time.Duration) time.Duration { return goalAt(now, 600*time.Millisecond, 300*time.Millisecond) }},
+		"a quarter of the nodes start": {event: restarts},
+	}
+	simulations := map[string]*shiftSimulation{}
+	for name, s := range cases {
+		for _, nodes := range []int{4, 67, 667} {
+			s := s
+			s.nodes, s.objects, s.load, s.slots = nodes, 90, 5400, 1200
+			simulations[fmt.Sprintf("%s, %d nodes", name, 3*nodes)] = &s
+		}
+	}
+	checkShifts(t, simulations)
+}
+
+// checkShifts runs simulations and checks the bound of each.
+func checkShifts(t *testing.T, simulations map[string]*shiftSimulation) {
+	var running sync.WaitGroup
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for _, s := range simulations {
+		running.Go(func() {
+			free <- struct{}{}
+			s.run()
+			<-free
+		})
+	}
 	running.Wait()
 	for name, s := range simulations {
 		t.Run(name, func(t *testing.T) {
