endpoint: rank objects anew when slots or failure domains of endpoints change

The region that ranks first for an object is remembered until the endpoints that are ranked change. A registration with other slots, or in another failure domain, did not count as such a change, so nodes kept the former regions while nodes that start used the new ones. TestSlotsThatChangeChangeTheRanking failed before.

--- a/endpoint/region_test.go
+++ b/endpoint/region_test.go
@@ -151,3 +151,35 @@
 		}
 	})
 }
+
+// TestSlotsThatChangeChangeTheRanking guards against objects that stay where they ranked first before the slots or the
+// failure domain of an endpoint changed, while nodes that start place them elsewhere.
+func TestSlotsThatChangeChangeTheRanking(t *testing.T) {
+	topo := topology{3, 2, 3, 6}
+	changes := map[string]func(e *inventory.Endpoint){
+		"slots":          func(e *inventory.Endpoint) { e.Slots *= 10 },
+		"failure domain": func(e *inventory.Endpoint) { e.Domain = "d1-0" },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("A node that has served the objects places them as one that starts", t, func() {
+				const objects = 300
+				table, fresh := topo.table(), topo.table()
+				for o := range objects {
+					table.Choose(epoch, query(spread(o)))
+				}
+				for i := range topo.endpoints {
+					e := topo.endpoint(0, 0, i)
+					change(&e)
+					table.Register(epoch, e)
+					fresh.Register(epoch, e)
+				}
+				for o := range objects {
+					c, _ := table.Choose(epoch, query(spread(o)))
+					want, _ := fresh.Choose(epoch, query(spread(o)))
+					convey.So(c.Region, convey.ShouldEqual, want.Region)
+				}
+			})
+		})
+	}
+}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -182,6 +182,9 @@
 			s.unconfirmedUntil = now.Add(takeBackTime)
 		}
 	}
+	if s.Slots != e.Slots || s.Domain != e.Domain {
+		s.pool.ranking++
+	}
 	changed := s.Draining != e.Draining || s.Slots != e.Slots || s.Domain != e.Domain || !s.missingSince.IsZero()
 	s.Endpoint, s.region = e, t.regionTable.of(e.Domain)
 	s.pool.isStale = true
