endpoint: move the locality of a route by groups of objects

The part of a route's objects that runs in the callers' region, or failure domain, grew by a share of the objects, and was paid for as if each were requested equally often; an object moved as a whole.

Now the objects move in 16 groups, one after the other, each at the cost of the requests counted for it, and in parts by the seeds of the requests.

--- a/endpoint/local.go
+++ b/endpoint/local.go
@@ -55,18 +55,27 @@
 // trips, the objective, the slots and the callers call for within the bound on shifts.
 type locality struct {
 	requests recentCount // of the route, at this node
-	placed   recentCount // of these, that the placements of their objects have in its region
 	domain   localPart   // in its failure domain
 	region   localPart   // in its region
 }
 
-// localPart is a part of a route's objects.
+const (
+	// objectGroups is the number of groups of a route's objects. They move one after the other, each in parts
+	// by the seeds of its requests.
+	objectGroups = 16
+	// minGroupCount is the number of requests that a group counts for at least: those of an object may not
+	// have been seen yet.
+	minGroupCount = 0.5
+)
+
+// localPart is a part of a route's objects: the first groups, and a part of the requests for the next one.
 type localPart struct {
-	part  float64
-	least time.Duration // that has to be saved
+	part   float64
+	least  time.Duration             // that has to be saved
+	groups [objectGroups]recentCount // of the requests that change their region with their group
 }
 
-// maxLocalities bounds the routes of which the locality is remembered, some 150 bytes each.
+// maxLocalities bounds the routes of which the locality is remembered, some 1,200 bytes each.
 const maxLocalities = 4096
 
 // locality returns the locality of a route.
@@ -104,19 +113,51 @@
 	return longest-t.roundTrip(t.local.Domain) >= max(least, 1)
 }
 
-// follow moves a part towards a target. share is that of the requests that change their region if the part
-// goes from 0 to 1.
-func (l *localPart) follow(now time.Time, b *shifts, target, share float64) {
-	l.part = b.step(now, l.part, target, share)
+// follow moves a part towards a target, which is rounded to whole groups.
+func (l *localPart) follow(now time.Time, b *shifts, target float64) {
+	target = math.Round(target*objectGroups) / objectGroups
+	for l.part != target {
+		group, end := l.next(target)
+		share := b.shareOf(now, max(minGroupCount, l.groups[group].value(now)))
+		l.part = b.step(now, l.part, end, share*objectGroups)
+		if l.part != end {
+			return
+		}
+	}
+}
+
+// next returns the group that moves next on the way to a target, and the part when it has moved.
+func (l *localPart) next(target float64) (group int, end float64) {
+	at := l.part * objectGroups
+	if target > l.part {
+		group = int(math.Floor(at))
+		return group, float64(group+1) / objectGroups
+	}
+	group = int(math.Ceil(at)) - 1
+	return group, float64(group) / objectGroups
+}
+
+// includes reports whether a request belongs to the part.
+func (l *localPart) includes(q Query) bool {
+	return l.part*objectGroups-float64(q.group()) > uniform(q.Seed^regionSalt)
 }
 
+// group returns the group of a request's object.
+func (q Query) group() int { return int(uniform(uint64(q.Object)^uniformSalt) * objectGroups) }
+
 // preferRegion returns this node's region if a request is to run there, else the region of its placement.
 func (t *Table) preferRegion(now time.Time, p *pool, q Query, r *region) *region {
 	home := t.regionTable.of(t.local.Domain)
-	if q.Object == 0 || t.local.RegionShare == 0 || len(q.Homes) > 0 && !slices.Contains(q.Homes, home.id) {
+	if q.Object == 0 || t.local.RegionShare == 0 {
 		return r
 	}
 	l := t.locality(q.Route)
+	if r != home {
+		l.region.groups[q.group()].add(now)
+	}
+	if len(q.Homes) > 0 && !slices.Contains(q.Homes, home.id) {
+		return r
+	}
 	least := time.Duration(regionThreshold * float64(q.Objective))
 	isLong := t.isLong(least)
 	if !isLong && l.region.part == 0 {
@@ -134,12 +175,8 @@
 	if target > 0 && math.Abs(target-l.region.part) < regionHysteresis {
 		target = l.region.part
 	}
-	if r == home {
-		l.placed.add(now)
-	}
-	elsewhere := max(1, l.requests.value(now)-l.placed.value(now))
-	l.region.follow(now, &t.shifts, target, t.shifts.shareOf(now, elsewhere))
-	if uniform(q.Object) < l.region.part {
+	l.region.follow(now, &t.shifts, target)
+	if l.region.includes(q) {
 		return home
 	}
 	return r
@@ -189,6 +226,7 @@
 	route := t.locality(q.Route)
 	route.requests.add(now)
 	l := &route.domain
+	l.groups[q.group()].add(now)
 	least := time.Duration(localThreshold * float64(q.Objective))
 	isLong := t.isLong(least)
 	if !isLong && l.part == 0 {
@@ -206,9 +244,9 @@
 	if isLong {
 		target, l.least = min(1, share/t.local.Share), least
 	}
-	l.follow(now, &t.shifts, target, t.shifts.shareOf(now, route.requests.value(now)))
+	l.follow(now, &t.shifts, target)
 	saved := t.roundTrip(best[0].state.Domain) - t.roundTrip(t.local.Domain)
-	if saved < l.least || primary.state == best[0].state || uniform(q.Object) >= l.part {
+	if saved < l.least || primary.state == best[0].state || !l.includes(q) {
 		return best
 	}
 	q.within = t.regionTable.of(t.local.Domain)
@@ -248,10 +286,8 @@
 	return primary, local / all
 }
 
-// uniform maps an object to [0, 1) uniformly and independently of its ranking.
-func uniform(o Object) float64 {
-	return float64(mix(uint64(o)^uniformSalt)>>11) / (1 << 53)
-}
+// uniform maps a key to [0, 1) uniformly.
+func uniform(key uint64) float64 { return float64(mix(key)>>11) / (1 << 53) }
 
 const uniformSalt = 0x9e3779b97f4a7c15 // any value that the ranking does not use
 
--- a/endpoint/region.go
+++ b/endpoint/region.go
@@ -100,7 +100,7 @@
 
 // region returns the region of a request.
 func (l *placement) region(seed uint64) *region {
-	if l.part > 0 && float64(mix(seed^regionSalt)>>11)/(1<<53) < l.part {
+	if l.part > 0 && uniform(seed^regionSalt) < l.part {
 		return l.to
 	}
 	return l.from
--- a/endpoint/shift_test.go
+++ b/endpoint/shift_test.go
@@ -38,18 +38,28 @@
 	popular int     // multiple of the requests for the first object
 	load    int     // requests of a region in a window, spread over its nodes; 0: by rate
 	slots   int     // of an endpoint; 0: 20 for each node of a region
+	tight   bool    // 2 slots of an endpoint for each node of a region
+	counts  []int   // endpoints of a service in a domain of each region; nil: 3, 1, 3
 	bound   float64 // setting; 0: shiftMax
 	service func(now time.Duration, o int) inventory.ServiceID
 	goal    func(now time.Duration) time.Duration // objective; nil: 600 ms
 	event   func(s *shiftSimulation, now time.Time)
+	adapt   func(now time.Duration, q *Query)       // changes requests; nil: none
+	again   func(now time.Duration, q *Query) bool  // whether a request is sent again, as changed; nil: none
+	times   func(now time.Duration, region int) int // multiple of the requests of a region; nil: 1
 
-	tables []*Table
-	events standin.EventQueue
-	shares [3][shiftWindows][3]float64 // requests by caller's region, window, and region
+	tables  []*Table
+	events  standin.EventQueue
+	ignored int                         // first windows that are not checked
+	shares  [3][shiftWindows][3]float64 // requests by caller's region, window, and region
 }
 
 func (s *shiftSimulation) endpoint(service inventory.ServiceID, region, domain, number int) inventory.Endpoint {
-	e := topology{slots: cmp.Or(s.slots, 20*s.nodes)}.endpoint(region, domain, number)
+	slots := cmp.Or(s.slots, 20*s.nodes)
+	if s.tight {
+		slots = 2 * s.nodes
+	}
+	e := topology{slots: slots}.endpoint(region, domain, number)
 	e.ID += inventory.EndpointID("-" + service)
 	e.Service = service
 	return e
@@ -74,7 +84,11 @@
 	t.SetServices([]inventory.Service{{ID: "s"}, {ID: "u"}})
 	t.SetLocalDomain(shiftLocation(node, 1.0/6))
 	for _, service := range []inventory.ServiceID{"s", "u"} {
-		for r, count := range []int{3, 1, 3} {
+		counts := s.counts
+		if counts == nil {
+			counts = []int{3, 1, 3}
+		}
+		for r, count := range counts {
 			for d := range 2 {
 				for number := range count {
 					t.Register(epoch, s.endpoint(service, r, d, number))
@@ -130,6 +144,9 @@
 			if o == 0 {
 				rate *= max(1, s.popular)
 			}
+			if s.times != nil {
+				rate *= s.times(time.Duration(w)*shiftWindow, i%3)
+			}
 			for k := range rate {
 				n++
 				at := time.Duration(w)*shiftWindow + time.Duration((float64(k)+float64(o)/float64(s.objects))/float64(rate)*float64(shiftWindow))
@@ -150,13 +167,25 @@
 	if s.goal != nil {
 		q.Objective = s.goal(age)
 	}
+	if s.adapt != nil {
+		s.adapt(age, &q)
+	}
+	c, ok := s.attempt(now, node, q)
+	if ok && s.again != nil && s.again(age, &q) {
+		q.Tried = []inventory.EndpointID{c.Endpoint.ID}
+		s.attempt(now, node, q)
+	}
+}
+
+// attempt sends a request to an endpoint, if a node finds one.
+func (s *shiftSimulation) attempt(now time.Time, node int, q Query) (Choice, bool) {
 	t := s.tables[node]
 	c, reason := t.Choose(now, q)
 	if reason != "" || !t.Start(now, c) {
-		return
+		return c, false
 	}
 	from, to := node%3, slices.Index(shiftRegions, c.Region)
-	s.shares[from][int(age/shiftWindow)][to]++
+	s.shares[from][int(now.Sub(epoch)/shiftWindow)][to]++
 	took := shiftNear
 	if from != to {
 		took = shiftFar
@@ -170,12 +199,13 @@
 	s.events.At(now.Add(took), func(now time.Time) {
 		t.Finish(now, c, Result{Verdict: VerdictServed, Took: took, Running: 1, Slots: c.Endpoint.Slots})
 	})
+	return c, true
 }
 
 // largest returns the largest share of the requests of a region that changes from one window to the next.
 func (s *shiftSimulation) largest() (share float64, where string) {
 	for from := range 3 {
-		for w := 1; w < shiftWindows; w++ {
+		for w := s.ignored + 1; w < shiftWindows; w++ {
 			a, b := s.shares[from][w-1], s.shares[from][w]
 			totalA, totalB, changed := a[0]+a[1]+a[2], b[0]+b[1]+b[2], 0.0
 			for r := range 3 {
@@ -218,17 +248,27 @@
 // TestRegionsChangeInStepsAtAllNodes guards against many of a region's requests changing their region at once.
 func TestRegionsChangeInStepsAtAllNodes(t *testing.T) {
 	cases := map[string]shiftSimulation{
-		"copies nearby become known":     {slots: 3, objects: 24, rate: 10},
-		"endpoints join in one region":   {event: joining(1, 12)},
-		"endpoints leave in one region":  {event: leaving(0)},
-		"a popular object moves":         {popular: 60, event: joining(1, 40)},
-		"weights move to a service":      {service: func(now time.Duration, _ int) inventory.ServiceID { return splitAt(now, "s", "u") }},
-		"an objective becomes short":     {goal: func(now time.Duration) time.Duration { return goalAt(now, 600*time.Millisecond, 300*time.Millisecond) }},
-		"an objective becomes long":      {goal: func(now time.Duration) time.Duration { return goalAt(now, 300*time.Millisecond, 600*time.Millisecond) }},
-		"the share of callers falls":     {goal: func(time.Duration) time.Duration { return 300 * time.Millisecond }, event: shareOfCallers(0.02)},
-		"a quarter of the nodes start":   {event: restarts},
-		"the drain of a domain ends":     {event: drainEnds},
-		"a smaller bound in the setting": {bound: 0.06, event: joining(1, 12)},
+		"copies nearby become known":                {slots: 3, objects: 24, rate: 10},
+		"endpoints join in one region":              {event: joining(1, 12)},
+		"endpoints leave in one region":             {event: leaving(0)},
+		"a popular object moves":                    {popular: 60, event: joining(1, 40)},
+		"weights move to a service":                 {service: func(now time.Duration, _ int) inventory.ServiceID { return splitAt(now, "s", "u") }},
+		"an objective becomes short":                {goal: func(now time.Duration) time.Duration { return goalAt(now, 600*time.Millisecond, 300*time.Millisecond) }},
+		"an objective becomes long":                 {goal: func(now time.Duration) time.Duration { return goalAt(now, 300*time.Millisecond, 600*time.Millisecond) }},
+		"the share of callers falls":                {goal: func(time.Duration) time.Duration { return 300 * time.Millisecond }, event: shareOfCallers(0.02)},
+		"a quarter of the nodes start":              {event: restarts},
+		"the drain of a domain ends":                {event: drainEnds},
+		"a smaller bound in the setting":            {bound: 0.06, event: joining(1, 12)},
+		"all requests get second copies":            {again: func(now time.Duration, q *Query) bool { q.Hedge = true; return now > shiftEvent }},
+		"all requests are tried again":              {again: func(now time.Duration, _ *Query) bool { return now > shiftEvent }},
+		"callers move":                              {times: movedCallers},
+		"a burst and its end":                       {tight: true, times: burst},
+		"endpoints of a region pause":               {event: pauses(0)},
+		"endpoints of a region have no permits":     {event: limits(0)},
+		"endpoints of a region return":              {event: lossEnds},
+		"a region has no endpoints":                 {counts: []int{3, 0, 3}, event: leaving(0)},
+		"a quarter of the nodes hear late":          {event: lateNews},
+		"a quarter of the nodes start without news": {event: lonelyRestarts},
 	}
 	simulations := map[string]*shiftSimulation{}
 	for name, s := range cases {
@@ -276,7 +316,7 @@
 		t.Run(name, func(t *testing.T) {
 			share, where := s.largest()
 			convey.Convey("The largest share that changes from one window to the next", t, func() {
-				t.Logf("%.3f %s", share, where)
+				t.Logf("%s: %.3f %s", name, share, where)
 				convey.So(share, convey.ShouldBeLessThanOrEqualTo, cmp.Or(s.bound, shiftMax))
 			})
 		})
@@ -317,6 +357,93 @@
 	}
 }
 
+// lonelyRestarts is the event in which the first nodes of each region start again, and hear of no others.
+func lonelyRestarts(s *shiftSimulation, _ time.Time) {
+	for i := range 3 * (s.nodes / 4) {
+		s.tables[i] = s.table(s.tables[i].regions, i)
+	}
+}
+
+// lateNews is the event in which endpoints join, of which the first nodes of each region hear three windows later.
+func lateNews(s *shiftSimulation, now time.Time) {
+	all := s.tables
+	s.tables = all[3*(s.nodes/4):]
+	joining(1, 12)(s, now)
+	s.tables = all
+	s.events.At(now.Add(3*shiftWindow), func(now time.Time) { joining(1, 12)(s, now) })
+}
+
+// movedCallers moves most callers of the first region to the second one.
+func movedCallers(now time.Duration, region int) int {
+	switch {
+	case region == 2:
+		return 2
+	case (region == 0) == (now < shiftEvent-1):
+		return 4
+	}
+	return 1
+}
+
+// burst multiplies the requests for three windows.
+func burst(now time.Duration, _ int) int {
+	if now >= shiftEvent-1 && now < shiftEvent-1+3*shiftWindow {
+		return 3
+	}
+	return 1
+}
+
+// half applies a change to the endpoints of the first service in a failure domain of a region, at all nodes.
+func (s *shiftSimulation) half(region int, change func(t *Table, e *endpointState)) {
+	s.all(func(t *Table) {
+		for i := range 3 {
+			change(t, t.byID[s.endpoint("s", region, 0, i).ID])
+		}
+	})
+}
+
+// pauses returns an event in which half of the endpoints in a region ask for a pause of three windows.
+func pauses(region int) func(s *shiftSimulation, now time.Time) {
+	return func(s *shiftSimulation, now time.Time) {
+		s.half(region, func(t *Table, e *endpointState) { t.RecordPause(now, Choice{state: e}, 3*shiftWindow) })
+	}
+}
+
+// limits returns an event in which half of the endpoints in a region name a limit, and there are no permits for
+// three windows.
+func limits(region int) func(s *shiftSimulation, now time.Time) {
+	return func(s *shiftSimulation, now time.Time) {
+		s.half(region, func(t *Table, e *endpointState) {
+			t.RecordLimit(now, Choice{state: e}, Limit{Rate: 1, Named: true})
+			t.Hold(Choice{state: e}, now.Add(3*shiftWindow))
+		})
+	}
+}
+
+// lossEnds is the event in which a region's endpoints, which were lost before, are registered again, cold for two
+// windows.
+func lossEnds(s *shiftSimulation, now time.Time) {
+	each := func(do func(t *Table, e inventory.Endpoint)) {
+		s.all(func(t *Table) {
+			for d := range 2 {
+				for i := range 3 {
+					do(t, s.endpoint("s", 0, d, i))
+				}
+			}
+		})
+	}
+	each(func(t *Table, e inventory.Endpoint) { t.Removed(now, e.ID) })
+	s.events.At(now.Add(shiftWindow), func(now time.Time) {
+		each(func(t *Table, e inventory.Endpoint) {
+			e.ColdRemaining = 2 * shiftWindow
+			t.Register(now, e)
+		})
+	})
+	s.ignoreUntil(shiftEvent + shiftWindow)
+}
+
+// ignoreUntil leaves windows up to a time out of the check.
+func (s *shiftSimulation) ignoreUntil(at time.Duration) { s.ignored = int(at/shiftWindow) + 1 }
+
 // drainEnds is the event in which a region's endpoints, which were drained before, are used again.
 func drainEnds(s *shiftSimulation, now time.Time) {
 	domains := []inventory.DomainID{"d0-0", "d0-1"}
@@ -324,9 +451,5 @@
 	s.events.At(now.Add(3*shiftWindow), func(now time.Time) {
 		s.all(func(t *Table) { t.SetDrained(now, nil) })
 	})
-	for from := range 3 { // evacuated domains are left at once: only the end of the drain counts
-		for w := range int(shiftEvent/shiftWindow) + 2 {
-			s.shares[from][w] = [3]float64{}
-		}
-	}
+	s.ignoreUntil(shiftEvent + shiftWindow) // evacuated domains are left at once: only the end of the drain counts
 }
