--- a/endpoint/local.go
+++ b/endpoint/local.go
@@ -78,19 +78,35 @@
 // maxLocalities bounds the routes of which the locality is remembered, some 1,200 bytes each.
 const maxLocalities = 4096
 
-// locality returns the locality of a route.
-func (t *Table) locality(r inventory.RouteID) *locality {
+// locality returns the locality of a route. A new route, which may replace another one, begins with that of the
+// route with the most requests.
+func (t *Table) locality(now time.Time, r inventory.RouteID) *locality {
 	l := t.localities[r]
 	if l == nil && len(t.localities) >= maxLocalities {
 		return &locality{} // the route has none
 	}
 	if l == nil {
 		l = &locality{}
+		if most := t.mostRequested(now); most != nil {
+			*l = *most
+			l.requests = recentCount{}
+		}
 		t.localities[r] = l
 	}
 	return l
 }
 
+// mostRequested returns the locality of the route with the most requests, nil if there is none.
+func (t *Table) mostRequested(now time.Time) *locality {
+	var most *locality
+	for _, l := range t.localities {
+		if most == nil || l.requests.value(now) > most.requests.value(now) {
+			most = l
+		}
+	}
+	return most
+}
+
 // forgetLocalities forgets the routes that are rarely requested if there are too many.
 func (t *Table) forgetLocalities(now time.Time) {
 	if len(t.localities) < maxLocalities {
@@ -151,7 +167,7 @@
 	if q.Object == 0 || t.local.RegionShare == 0 {
 		return r
 	}
-	l := t.locality(q.Route)
+	l := t.locality(now, q.Route)
 	if r != home {
 		l.region.groups[q.group()].add(now)
 	}
@@ -223,7 +239,7 @@
 	if q.Object == 0 {
 		return best
 	}
-	route := t.locality(q.Route)
+	route := t.locality(now, q.Route)
 	route.requests.add(now)
 	l := &route.domain
 	l.groups[q.group()].add(now)
@@ -322,7 +338,7 @@
 	if r.Region != t.regions[t.local.Domain] || !(r.Part >= 0 && r.Part <= 1) {
 		return
 	}
-	if l := t.locality(r.Route); l.requests.value(now) < 1 {
+	if l := t.locality(now, r.Route); l.requests.value(now) < 1 {
 		l.region.part = max(l.region.part, r.Part)
 	}
 }
--- a/endpoint/region_test.go
+++ b/endpoint/region_test.go
@@ -117,7 +117,7 @@
 				table := topology{3, 1, 2, 3}.table()
 				table.SetLocalDomain(LocalDomain{Domain: "d0-0", Share: 1, RegionShare: 1})
 				table.Learn(epoch, Gossip{Localities: []LocalityReport{c.told}})
-				convey.So(table.locality("r").region.part, convey.ShouldEqual, c.want)
+				convey.So(table.locality(epoch, "r").region.part, convey.ShouldEqual, c.want)
 			})
 		})
 	}
--- a/endpoint/shift_test.go
+++ b/endpoint/shift_test.go
@@ -259,6 +259,7 @@
 		"a quarter of the nodes start":              {event: restarts},
 		"the drain of a domain ends":                {event: drainEnds},
 		"a smaller bound in the setting":            {bound: 0.06, event: joining(1, 12)},
+		"a route is replaced":                       {adapt: replacedRoute},
 		"all requests get second copies":            {again: func(now time.Duration, q *Query) bool { q.Hedge = true; return now > shiftEvent }},
 		"all requests are tried again":              {again: func(now time.Duration, _ *Query) bool { return now > shiftEvent }},
 		"callers move":                              {times: movedCallers},
@@ -373,6 +374,13 @@
 	s.events.At(now.Add(3*shiftWindow), func(now time.Time) { joining(1, 12)(s, now) })
 }
 
+// replacedRoute sends the requests to another route from the event on.
+func replacedRoute(now time.Duration, q *Query) {
+	if now >= shiftEvent {
+		q.Route = "other"
+	}
+}
+
 // movedCallers moves most callers of the first region to the second one.
 func movedCallers(now time.Duration, region int) int {
 	switch {
