endpoint: objects stay in their region when home regions are lifted

Objects are placed apart for each set of home regions. When an organisation's home regions were lifted, all its objects began where they rank first among all regions: .87 of a region's requests changed their region within a window, .15 are allowed (new case 'home regions are lifted').

--- a/endpoint/region.go
+++ b/endpoint/region.go
@@ -6,7 +6,7 @@
 //
 // An object begins in the region of the endpoint that ranks first for it. All nodes rank alike, so nodes that
 // start agree with the others unless a change is under way. In a service to which its route sends requests from
-// now on, it begins in the region where it was.
+// now on, or with other home regions, it begins in the region where it was.
 //
 // Within its region, a request goes to the endpoint of the lowest cost. Requests that find no usable
 // endpoint in their region leave it at once.
@@ -30,7 +30,9 @@
 	placedSweepTime = time.Second
 	// anonymousKeys is the number of keys that stand for the objects of requests without one.
 	anonymousKeys = 256
-	regionSalt    = 0xd1342543de82ef95 // any value that other hashes of objects do not use
+	// maxHomes bounds the sets of home regions that are remembered.
+	maxHomes   = 16
+	regionSalt = 0xd1342543de82ef95 // any value that other hashes of objects do not use
 )
 
 // region is a region of the deployment. Regions are compared by identity.
@@ -67,20 +69,36 @@
 // placementKey identifies an object among the requests with the same home regions.
 type placementKey uint64
 
-// placementKey returns the key of a request. Requests without an object are spread over some keys.
-func (q Query) placementKey() placementKey {
+// homesKey identifies a set of home regions.
+type homesKey uint64
+
+// homesKey returns the key of the home regions of a request.
+func (q Query) homesKey() homesKey {
+	if len(q.Homes) == 0 {
+		return 0
+	}
+	var homes strings.Builder
+	for _, h := range q.Homes {
+		homes.WriteString(string(h) + "\x00")
+	}
+	return homesKey(xxhash.Sum64String(homes.String()))
+}
+
+// placementKey returns the key of a request's object among requests with some home regions. Requests without an
+// object are spread over some keys.
+func (q Query) placementKey(homes homesKey) placementKey {
 	key := uint64(q.Object)
 	if q.Object == 0 {
 		key = q.Seed % anonymousKeys
 	}
-	if len(q.Homes) > 0 {
-		var homes strings.Builder
-		for _, h := range q.Homes {
-			homes.WriteString(string(h) + "\x00")
-		}
-		key ^= xxhash.Sum64String(homes.String())
+	return placementKey(key ^ uint64(homes))
+}
+
+// recordHomes records the home regions of a request, as far as there is room.
+func (t *Table) recordHomes(k homesKey) {
+	if len(t.homes) < maxHomes && !slices.Contains(t.homes, k) {
+		t.homes = append(t.homes, k)
 	}
-	return placementKey(key)
 }
 
 // placement is the region of an object's requests. While it moves, a part of them runs in the next one.
@@ -133,7 +151,8 @@
 
 // placement returns the placement of a request; nil: too many others are remembered.
 func (t *Table) placement(now time.Time, p *pool, q Query) *placement {
-	key := q.placementKey()
+	homes := q.homesKey()
+	key := q.placementKey(homes)
 	l := p.placements[key]
 	if l != nil {
 		if l.ranking != p.ranking {
@@ -146,26 +165,35 @@
 	}
 	l = &placement{first: t.firstRegion(p, q), ranking: p.ranking}
 	l.settle(l.first)
-	if former := t.formerRegion(now, key, p); former != nil && q.Object != 0 {
+	t.recordHomes(homes)
+	if former := t.formerRegion(now, p, q); former != nil {
 		l.settle(former)
 	}
 	p.placements[key] = l
 	return l
 }
 
-// formerRegion returns the region of an object in the service where it was requested most, if this one has
-// endpoints there; else nil.
-func (t *Table) formerRegion(now time.Time, key placementKey, p *pool) *region {
+// formerRegion returns the region of an object where it was requested most, in another service or with other home
+// regions, if this request may run there; else nil.
+func (t *Table) formerRegion(now time.Time, p *pool, q Query) *region {
 	var former *region
 	most := 0.0
 	for _, other := range t.services {
-		if l := other.placements[key]; l != nil && other != p && l.requests.value(now) > most && p.ranksIn(l.from) {
-			former, most = l.from, l.requests.value(now)
+		for _, homes := range t.homes {
+			l := other.placements[q.placementKey(homes)]
+			if l != nil && l.requests.value(now) > most && q.mayRunIn(l.from) && p.ranksIn(l.from) {
+				former, most = l.from, l.requests.value(now)
+			}
 		}
 	}
 	return former
 }
 
+// mayRunIn reports whether a region is one of the home regions of a request.
+func (q Query) mayRunIn(r *region) bool {
+	return len(q.Homes) == 0 || r != nil && slices.Contains(q.Homes, r.id)
+}
+
 // forgetPlacements forgets objects that are rarely requested, and reports whether there is room.
 func (p *pool) forgetPlacements(now time.Time) bool {
 	if now.Sub(p.placementsSweptAt) < placedSweepTime {
@@ -187,7 +215,7 @@
 	}
 	var first candidate
 	for _, s := range p.endpoints {
-		if !s.ranked || len(q.Homes) > 0 && !slices.Contains(q.Homes, s.region.id) {
+		if !s.ranked || !q.mayRunIn(s.region) {
 			continue
 		}
 		if u := unitHash(q.key(), s); float64(s.Slots) > first.score*(1-u) {
@@ -275,7 +303,7 @@
 		}
 	case ReasonTried:
 	default:
-		if l := p.placements[q.placementKey()]; l.region(q.Seed) == r {
+		if l := p.placements[q.placementKey(q.homesKey())]; l.region(q.Seed) == r {
 			l.settle(elsewhere.best[0].state.region)
 		}
 	}
--- a/endpoint/shift_test.go
+++ b/endpoint/shift_test.go
@@ -260,6 +260,7 @@
 		"the drain of a domain ends":                {event: drainEnds},
 		"a smaller bound in the setting":            {bound: 0.06, event: joining(1, 12)},
 		"a route is replaced":                       {adapt: replacedRoute},
+		"home regions are lifted":                   {adapt: liftedHomes},
 		"all requests get second copies":            {again: func(now time.Duration, q *Query) bool { q.Hedge = true; return now > shiftEvent }},
 		"all requests are tried again":              {again: func(now time.Duration, _ *Query) bool { return now > shiftEvent }},
 		"callers move":                              {times: movedCallers},
@@ -381,6 +382,13 @@
 	}
 }
 
+// liftedHomes restricts the requests to two regions until the event.
+func liftedHomes(now time.Duration, q *Query) {
+	if now < shiftEvent {
+		q.Homes = []inventory.RegionID{"r0", "r1"}
+	}
+}
+
 // movedCallers moves most callers of the first region to the second one.
 func movedCallers(now time.Duration, region int) int {
 	switch {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -64,6 +64,7 @@
 	coldSenders    ColdSenders
 	local          LocalDomain
 	localities     map[inventory.RouteID]*locality
+	homes          []homesKey // that requests had
 	regionTable    regionTable
 	shifts         shifts
 	roundTrips     map[inventory.DomainID]time.Duration // absent: not measured yet
