--- a/endpoint/shift_test.go
+++ b/endpoint/shift_test.go
@@ -248,29 +248,30 @@
 // TestRegionsChangeInStepsAtAllNodes guards against many of a region's requests changing their region at once.
 func TestRegionsChangeInStepsAtAllNodes(t *testing.T) {
 	cases := map[string]shiftSimulation{
-		"copies nearby become known":                {slots: 3, objects: 24, rate: 10},
-		"endpoints join in one region":              {event: joining(1, 12)},
-		"endpoints leave in one region":             {event: leaving(0)},
-		"a popular object moves":                    {popular: 60, event: joining(1, 40)},
-		"weights move to a service":                 {service: func(now time.Duration, _ int) inventory.ServiceID { return splitAt(now, "s", "u") }},
-		"an objective becomes short":                {goal: func(now time.Duration) time.Duration { return goalAt(now, 600*time.Millisecond, 300*time.Millisecond) }},
-		"an objective becomes long":                 {goal: func(now time.Duration) time.Duration { return goalAt(now, 300*time.Millisecond, 600*time.Millisecond) }},
-		"the share of callers falls":                {goal: func(time.Duration) time.Duration { return 300 * time.Millisecond }, event: shareOfCallers(0.02)},
-		"a quarter of the nodes start":              {event: restarts},
-		"the drain of a domain ends":                {event: drainEnds},
-		"a smaller bound in the setting":            {bound: 0.06, event: joining(1, 12)},
-		"a route is replaced":                       {adapt: replacedRoute},
-		"home regions are lifted":                   {adapt: liftedHomes},
-		"all requests get second copies":            {again: func(now time.Duration, q *Query) bool { q.Hedge = true; return now > shiftEvent }},
-		"all requests are tried again":              {again: func(now time.Duration, _ *Query) bool { return now > shiftEvent }},
-		"callers move":                              {times: movedCallers},
-		"a burst and its end":                       {tight: true, times: burst},
-		"endpoints of a region pause":               {event: pauses(0)},
-		"endpoints of a region have no permits":     {event: limits(0)},
-		"endpoints of a region return":              {event: lossEnds},
-		"a region has no endpoints":                 {counts: []int{3, 0, 3}, event: leaving(0)},
-		"a quarter of the nodes hear late":          {event: lateNews},
-		"a quarter of the nodes start without news": {event: lonelyRestarts},
+		"copies nearby become known":                   {slots: 3, objects: 24, rate: 10},
+		"endpoints join in one region":                 {event: joining(1, 12)},
+		"endpoints leave in one region":                {event: leaving(0)},
+		"a popular object moves":                       {popular: 60, event: joining(1, 40)},
+		"weights move to a service":                    {service: func(now time.Duration, _ int) inventory.ServiceID { return splitAt(now, "s", "u") }},
+		"an objective becomes short":                   {goal: func(now time.Duration) time.Duration { return goalAt(now, 600*time.Millisecond, 300*time.Millisecond) }},
+		"an objective becomes long":                    {goal: func(now time.Duration) time.Duration { return goalAt(now, 300*time.Millisecond, 600*time.Millisecond) }},
+		"the share of callers falls":                   {goal: func(time.Duration) time.Duration { return 300 * time.Millisecond }, event: shareOfCallers(0.02)},
+		"a quarter of the nodes start":                 {event: restarts},
+		"the drain of a domain ends":                   {event: drainEnds},
+		"a smaller bound in the setting":               {bound: 0.06, event: joining(1, 12)},
+		"a route is replaced":                          {adapt: replacedRoute},
+		"home regions are lifted":                      {adapt: liftedHomes},
+		"all requests get second copies":               {again: func(now time.Duration, q *Query) bool { q.Hedge = true; return now > shiftEvent }},
+		"all requests are tried again":                 {again: func(now time.Duration, _ *Query) bool { return now > shiftEvent }},
+		"callers move":                                 {times: movedCallers},
+		"a burst and its end":                          {tight: true, times: burst},
+		"endpoints of a region pause":                  {event: pauses(0)},
+		"endpoints of a region have no permits":        {event: limits(0)},
+		"endpoints of a region return":                 {event: lossEnds},
+		"a region has no endpoints":                    {counts: []int{3, 0, 3}, event: leaving(0)},
+		"a quarter of the nodes hear late":             {event: lateNews},
+		"a quarter of the nodes start without news":    {event: lonelyRestarts},
+		"a quarter of the nodes start with stale news": {event: misledRestarts},
 	}
 	simulations := map[string]*shiftSimulation{}
 	for name, s := range cases {
@@ -366,6 +367,15 @@
 	}
 }
 
+// misledRestarts is the event in which the first nodes of each region start again, and hear that all of a route's objects
+// run in their region.
+func misledRestarts(s *shiftSimulation, now time.Time) {
+	lonelyRestarts(s, now)
+	for i := range 3 * (s.nodes / 4) {
+		s.tables[i].Learn(now, Gossip{Localities: []LocalityReport{{Region: shiftRegions[i%3], Route: "r", Part: 1}}})
+	}
+}
+
 // lateNews is the event in which endpoints join, of which the first nodes of each region hear three windows later.
 func lateNews(s *shiftSimulation, now time.Time) {
 	all := s.tables
