endpoint: requests for cold services may leave their region

While all endpoints of a service are cold, each takes few requests a second from a node. Requests for the objects of one region were rejected when its endpoints got no more, though those of other regions could take them; only a share within the bound on shifts went there. They go there at once now. Cold endpoints of a region whose service is warm elsewhere are not ranked and were not concerned. TestPausedRegionIsLeftWithinBound became a table, with limits beside pauses, and is named TestRegionWithoutRoomIsLeftWithinBound.

--- a/endpoint/region.go
+++ b/endpoint/region.go
@@ -283,7 +283,8 @@
 }
 
 // rankPlaced ranks the usable endpoints of the region in which a request runs. If it has none, the
-// request leaves the region: at once if they have failed or are gone, else within the bound.
+// request leaves the region: within the bound if they only pause or have limits, else at once. Cold endpoints are
+// ranked only if all of the service are cold, so that no other region has warm ones.
 func (t *Table) rankPlaced(now time.Time, p *pool, q Query) (ranking, Move, Reason) {
 	r, move := t.place(now, p, q)
 	q.within = r
@@ -297,11 +298,11 @@
 		return elsewhere, move, none
 	}
 	switch reason {
-	case ReasonPause, ReasonLimit, ReasonCold:
+	case ReasonPause, ReasonLimit:
 		if !t.shifts.spill(now) {
 			return ranked, move, reason
 		}
-	case ReasonTried:
+	case ReasonTried, ReasonCold:
 	default:
 		if l := p.placements[q.placementKey(q.homesKey())]; l.region(q.Seed) == r {
 			l.settle(elsewhere.best[0].state.region)
--- a/endpoint/region_test.go
+++ b/endpoint/region_test.go
@@ -79,25 +79,37 @@
 	}
 }
 
-// TestPausedRegionIsLeftWithinBound guards against all requests of a region running elsewhere as soon as its
-// endpoints ask for a pause.
-func TestPausedRegionIsLeftWithinBound(t *testing.T) {
-	convey.Convey("Few requests leave a region whose endpoints all pause, the others are rejected", t, func() {
-		topo := topology{3, 2, 3, 6}
-		const objects = 300
-		table := boundedTable(topo, objects)
-		before, _ := served(table, epoch, objects, "r0")
-		now := epoch.Add(time.Second)
-		for d := range topo.domains {
-			for i := range topo.endpoints {
-				s := table.byID[topo.endpoint(0, d, i).ID]
-				table.RecordPause(now, Choice{state: s}, time.Minute)
-			}
-		}
-		here, rejected := served(table, now, objects, "r0")
-		convey.So(here, convey.ShouldEqual, 0)
-		convey.So(rejected, convey.ShouldBeBetween, before-objects/20, before+1)
-	})
+// TestRegionWithoutRoomIsLeftWithinBound guards against all requests of a region running elsewhere as soon as its
+// endpoints may get none for a time.
+func TestRegionWithoutRoomIsLeftWithinBound(t *testing.T) {
+	cases := map[string]func(table *Table, now time.Time, s *endpointState){
+		"pauses": func(table *Table, now time.Time, s *endpointState) {
+			table.RecordPause(now, Choice{state: s}, time.Minute)
+		},
+		"limits": func(table *Table, now time.Time, s *endpointState) {
+			table.RecordLimit(now, Choice{state: s}, Limit{Rate: 1, Named: true})
+			table.Hold(Choice{state: s}, now.Add(time.Minute))
+		},
+	}
+	for name, stop := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Few requests leave the region, the others are rejected", t, func() {
+				topo := topology{3, 2, 3, 6}
+				const objects = 300
+				table := boundedTable(topo, objects)
+				before, _ := served(table, epoch, objects, "r0")
+				now := epoch.Add(time.Second)
+				for d := range topo.domains {
+					for i := range topo.endpoints {
+						stop(table, now, table.byID[topo.endpoint(0, d, i).ID])
+					}
+				}
+				here, rejected := served(table, now, objects, "r0")
+				convey.So(here, convey.ShouldEqual, 0)
+				convey.So(rejected, convey.ShouldBeBetween, before-objects/20, before+1)
+			})
+		})
+	}
 }
 
 // TestNodesThatStartTakeOverTheLocality guards against callers of a node that starts being served in
@@ -183,3 +195,29 @@
 		})
 	}
 }
+
+// TestColdServiceIsUsedInAllRegions guards against requests that are rejected since the cold endpoints of their region
+// get no more, while others could serve them: cold endpoints are ranked only if all of their service are cold.
+func TestColdServiceIsUsedInAllRegions(t *testing.T) {
+	convey.Convey("Requests for one object use the rate bound of all endpoints", t, func() {
+		topo := topology{3, 2, 3, 6}
+		table := topo.table()
+		table.SetBounds(Bounds{Excess: 1.5, Slack: 5, Shift: 0.15})
+		table.SetServices([]inventory.Service{{ID: query(0).Service, ColdRate: 6}})
+		table.SetColdSenders(ColdSenders{Self: "n", Entries: []inventory.EntryID{"n"}})
+		for _, s := range table.byID {
+			s.warmup.extend(epoch, time.Minute)
+		}
+		byRegion := map[inventory.RegionID]int{}
+		for range 100 {
+			if c, reason := table.Choose(epoch, query(7)); reason == "" {
+				table.Start(epoch, c)
+				byRegion[c.Region]++
+			}
+		}
+		bound := (6*3 + 5*2) / 2 / (sendersPerEndpoint * senderSets) // 6 a second, 1.5 times and 5 more
+		for _, r := range []inventory.RegionID{"r0", "r1", "r2"} {
+			convey.So(byRegion[r], convey.ShouldEqual, topo.domains*topo.endpoints*bound)
+		}
+	})
+}
