--- a/endpoint/gossip.go
+++ b/endpoint/gossip.go
@@ -87,7 +87,7 @@
 
 func (l *replicaLog) append(r Replica) {
 	if len(l.replicas) == maxGossipLog {
-		l.replicas = slices.Delete(l.replicas, 0, 1)
+		l.replicas = l.replicas[1:]
 	}
 	l.replicas = append(l.replicas, r)
 	l.end++
@@ -118,7 +118,7 @@
 
 func (l *reportLog) append(r report) {
 	if len(l.reports) == maxGossipLog {
-		l.reports = slices.Delete(l.reports, 0, 1)
+		l.reports = l.reports[1:]
 	}
 	l.reports = append(l.reports, r)
 	l.end++
