node: refuse bounds that are not numbers; log the bound on shifts

shift = nan in the settings passed the check of its range and became a bound that no comparison holds. All bounds that are shares or counts are refused now with an error that names the field. A bound that is 0 or left out means none, as docs/FORMATS.md says; the lines start and reload log what is in force, so that a node without one shows.

TestInvalidSettingsAreRejected has cases for a negative one, one above 1 and one that is not a number; the last failed before.

--- a/node/node.go
+++ b/node/node.go
@@ -268,7 +268,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer n.cancel()
 	s := n.settings.Load()
-	klog.InfoS("start", "entry", s.ID, "domain", s.Domain, "region", s.region(), "caller", s.Caller, "platform", s.Platform)
+	klog.InfoS("start", "entry", s.ID, "domain", s.Domain, "region", s.region(), "caller", s.Caller, "platform", s.Platform, "shift", s.Bounds.Shift)
 	auxiliary, err := n.listenAuxiliary()
 	if err != nil {
 		return err
--- a/node/reload.go
+++ b/node/reload.go
@@ -19,7 +19,7 @@
 	n.freshness.SetLimit(s.Bounds.proofLimit())
 	n.endpoints.SetBounds(s.Bounds.endpointBounds())
 	n.quotas.SetBounds(s.Bounds.quotaBounds())
-	klog.InfoS("reload", "cause", cause, "bounds", old.Bounds != s.Bounds, "hedge", s.Hedge.Share, "restart", needsRestart(*old, s))
+	klog.InfoS("reload", "cause", cause, "bounds", old.Bounds != s.Bounds, "shift", s.Bounds.Shift, "hedge", s.Hedge.Share, "restart", needsRestart(*old, s))
 }
 
 // needsRestart reports whether settings changed that take effect only after a restart.
--- a/node/settings.go
+++ b/node/settings.go
@@ -3,6 +3,7 @@
 // The settings of a node: its static configuration, read before it connects to anything.
 
 import (
+	"math"
 	"os"
 	"time"
 
@@ -279,6 +280,9 @@
 		{"bounds.quota.excess", b.Quota.Excess}, {"bounds.quota.slack", b.Quota.Slack},
 		{"bounds.revoke", b.Revocation.Seconds()}, {"bounds.shift", b.Shift},
 	} {
+		if math.IsNaN(f.value) {
+			return f.key, errors.New("is not a number")
+		}
 		if f.value < 0 {
 			return f.key, errors.Newf("%g is negative", f.value)
 		}
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -50,6 +50,9 @@
 		"negative drain":   {"\"2s\"", "\"-2s\"", "bounds.drain", "-2s"},
 		"no window":        {"\"10s\"", "\"0s\"", "bounds.retry.window", "0s"},
 		"negative slack":   {"slack = 5", "slack = -5", "bounds.cold.slack", "-5 is negative"},
+		"negative shift":   {"[bounds]", "[bounds]\nshift = -0.1", "bounds.shift", "-0.1 is negative"},
+		"shift above 1":    {"[bounds]", "[bounds]\nshift = 1.5", "bounds.shift", "1.5; a share is at most 1"},
+		"shift not number": {"[bounds]", "[bounds]\nshift = nan", "bounds.shift", "is not a number"},
 		"unknown key":      {"share = 0.32", "shape = 0.32", "vm.shape", "unknown key"},
 		"unknown key, top": {"platform =", "platforms =", "platforms", "unknown key"},
 	}
@@ -71,6 +74,7 @@
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(s.Ready, convey.ShouldEqual, s.Lookup)
 		convey.So(s.Bounds.Grace, convey.ShouldResemble, DefaultBounds().Grace)
+		convey.So(s.Bounds.Shift, convey.ShouldEqual, 0)
 		convey.So(s.region(), convey.ShouldEqual, inventory.RegionID("norte"))
 	})
 }
