--- a/node/handler.go
+++ b/node/handler.go
@@ -202,8 +202,8 @@
 }
 
 // String formats an attempt: the endpoint, the result, the endpoint's region and failure domain, what moved
-// the request there, whether it was a hedge, the endpoint's rank for the object, whether the object is expected to be warm there, whether the endpoint is cold,
-// its estimated load in requests, and the expected and actual times.
+// the request there, whether it was a hedge, the endpoint's rank for the object, whether the object is expected
+// to be warm there, whether the endpoint is cold, its estimated load in requests, and the expected and actual times.
 func (a attempt) String() string {
 	text := string(a.endpoint) + " " + a.result
 	if a.region != "" {
