node: keys are rejected only by the organisations that the proof is about

The proof is read first now, and the organisations in force after it; if these are not the ones that decided, the request is rejected as not run. TestFormerConfigurationsDecideOnNoKey fails without the change in both cases.

--- a/cmd/wasabiwheel/process_test.go
+++ b/cmd/wasabiwheel/process_test.go
@@ -356,6 +356,8 @@
 		"cut off while a configuration changes":       {1201, 20 * time.Second, true},
 		"the news of a start after its first pause":   {1058, 20 * time.Second, true},
 		"the only other node reads a version later":   {102, time.Minute, true},
+		"keys of a former configuration, at one node": {570012, 20 * time.Second, true},
+		"keys of a former configuration, at another":  {580005, 20 * time.Second, true},
 	}
 	for name, c := range cases {
 		if c.regression && !*foundSeeds {
--- a/node/organisation.go
+++ b/node/organisation.go
@@ -74,14 +74,14 @@
 	}
 	key, ok := parseKey(req.authorization, n.headerNames.KeyScheme)
 	if !ok {
-		return n.rejectKey(req, keyMissing)
+		return n.rejectKey(req, table, keyMissing)
 	}
 	o, found := table.Find(key)
 	switch {
 	case table.IsAmbiguous(key):
-		return n.rejectKey(req, keyAmbiguous)
+		return n.rejectKey(req, table, keyAmbiguous)
 	case !found:
-		return n.rejectKey(req, keyUnknown)
+		return n.rejectKey(req, table, keyUnknown)
 	}
 	req.organisation, req.key = o, key
 	if o.Priority != nil {
@@ -93,28 +93,30 @@
 		resp := notRun(ReasonHome, admission.RetryAfter(defaultRetryAfter, req.remaining(time.Now())))
 		return &resp
 	}
-	return n.rejectUnproven(req)
+	return n.rejectUnproven(req, table)
 }
 
-// rejectKey rejects a request because of its key. Callers don't retry after 401, so a node
-// whose configuration may be outdated answers that the request was not run.
-func (n *Node) rejectKey(req *request, cause string) *response {
+// rejectKey rejects a request because of its key, as the organisations in table say. Callers don't retry
+// after 401, so a node whose configuration may be outdated answers that the request was not run.
+func (n *Node) rejectKey(req *request, table *organisation.Table, cause string) *response {
 	req.keyProblem = cause
 	resp := rejected(ReasonKey, http.StatusUnauthorized)
-	if cause == keyUnproven || !n.isCurrent() {
+	if cause == keyUnproven || !n.isCurrent(table) {
 		cause, resp = keyUnproven, notRun(ReasonUnproven, unprovenRetryAfter)
 	}
 	n.metrics.increment("key." + cause)
 	return &resp
 }
 
-// isCurrent reports whether the configuration in force is known to be recent: by its proof where
-// keys have to be withdrawn in time, else by the contact to the source of changes.
-func (n *Node) isCurrent() bool {
+// isCurrent reports whether organisations are those in force, in a configuration that is known to be recent: by
+// its proof where keys have to be withdrawn in time, else by the contact to the source of changes. What proves that
+// is checked first, since a later configuration may come into force with it.
+func (n *Node) isCurrent(table *organisation.Table) bool {
+	recent := n.isStoreReached()
 	if n.freshness.Limit() > 0 {
-		return n.isProven()
+		recent = n.isProven()
 	}
-	return n.isStoreReached()
+	return recent && n.routes.Load().organisations == table
 }
 
 // parseKey returns the key that the values of the header contain. There has to be one value.
--- a/node/proof.go
+++ b/node/proof.go
@@ -17,6 +17,7 @@
 	"github.com/wasabiwheel/wasabiwheel/freshness"
 	"github.com/wasabiwheel/wasabiwheel/inventory"
 	"github.com/wasabiwheel/wasabiwheel/member"
+	"github.com/wasabiwheel/wasabiwheel/organisation"
 	"github.com/wasabiwheel/wasabiwheel/platform"
 )
 
@@ -271,11 +272,11 @@
 // mayUseKey reports whether a request may be sent: its key belongs to its organisation in a
 // configuration that is known to be recent.
 func (n *Node) mayUseKey(req *request) bool {
-	return req.organisation == nil || n.isProven() && n.holdsKey(req)
+	return req.organisation == nil || n.isProven() && req.holdsKey(n.routes.Load().organisations)
 }
 
-func (n *Node) holdsKey(req *request) bool {
-	table := n.routes.Load().organisations
+// holdsKey reports whether the key of a request belongs to its organisation.
+func (req *request) holdsKey(table *organisation.Table) bool {
 	o, found := table.Find(req.key)
 	return found && o.ID == req.organisation.ID || !table.IsRequired()
 }
@@ -283,11 +284,16 @@
 // checkKeyAgain decides on a request whose key this node may not use now: another node with a proof
 // serves it, or it is rejected.
 func (n *Node) checkKeyAgain(ctx context.Context, req *request, last response) (resp response, decided bool) {
-	if n.mayUseKey(req) {
+	if req.organisation == nil {
 		return response{}, false
 	}
-	if n.isProven() {
-		return mergeResponses(last, *n.rejectKey(req, keyUnknown)), true
+	proven := n.isProven() // before the configuration is read
+	table := n.routes.Load().organisations
+	switch {
+	case proven && req.holdsKey(table):
+		return response{}, false
+	case proven:
+		return mergeResponses(last, *n.rejectKey(req, table, keyUnknown)), true
 	}
 	if req.forwarded == nil && req.sent == 0 {
 		req.unproven = true
@@ -295,7 +301,7 @@
 			return mergeResponses(last, resp), true
 		}
 	}
-	return mergeResponses(last, *n.rejectKey(req, keyUnproven)), true
+	return mergeResponses(last, *n.rejectKey(req, table, keyUnproven)), true
 }
 
 // mayForward reports whether a request may be sent to another node: to any if this one can decide on
@@ -306,11 +312,11 @@
 
 // rejectUnproven rejects a request at once if neither this node nor another one that it knows of can
 // decide on its key.
-func (n *Node) rejectUnproven(req *request) *response {
+func (n *Node) rejectUnproven(req *request, table *organisation.Table) *response {
 	if n.isProven() || req.forwarded == nil && len(n.members.Proven(time.Now())) > 0 {
 		return nil
 	}
-	return n.rejectKey(req, keyUnproven)
+	return n.rejectKey(req, table, keyUnproven)
 }
 
 // provenNodes returns the nodes among which one may serve a request whose key this node can't check.
--- a/node/proof_test.go
+++ b/node/proof_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -29,16 +30,24 @@
 // withRevocation is withHarness with organisations and a bound on withdrawn keys. The clock that
 // counts suspension can be advanced beyond the runtime's.
 func withRevocation(t *testing.T, body func(h *harness, suspend func(time.Duration))) {
+	suspended := atomic.Int64{}
+	withSuspension(t, func() time.Duration { return time.Duration(suspended.Load()) }, func(h *harness) {
+		body(h, func(d time.Duration) { suspended.Add(int64(d)) })
+	})
+}
+
+// withSuspension is withRevocation with a function that returns how long the VMs have been suspended.
+func withSuspension(t *testing.T, suspended func() time.Duration, body func(h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, withOrganisations(testInventory()))
 		defer h.close()
-		start, suspended := time.Now(), atomic.Int64{}
-		h.options.SinceBoot = func() time.Duration { return time.Hour + time.Since(start) + time.Duration(suspended.Load()) }
+		start := time.Now()
+		h.options.SinceBoot = func() time.Duration { return time.Hour + time.Since(start) + suspended() }
 		for _, e := range h.inv.Entries {
 			h.startRevoking(e.ID)
 		}
 		time.Sleep(8 * time.Second)
-		body(h, func(d time.Duration) { suspended.Add(int64(d)) })
+		body(h)
 	})
 }
 
@@ -291,6 +300,47 @@
 	})
 }
 
+// TestFormerConfigurationsDecideOnNoKey guards against 401 for a key of the configuration in force: from a request that
+// began under a former one, or while there was no proof.
+func TestFormerConfigurationsDecideOnNoKey(t *testing.T) {
+	var suspendedOnce atomic.Bool
+	suspended := func() time.Duration {
+		if suspendedOnce.CompareAndSwap(true, false) {
+			return revocation
+		}
+		return 0
+	}
+	withSuspension(t, suspended, func(h *harness) {
+		n := h.nodes["n1"]
+		former := n.routes.Load()
+		h.publish(bytes.Replace(withOrganisations(testInventory()), []byte("\"acme-2\""), []byte("\"acme-3\""), 1))
+		time.Sleep(3 * time.Second)
+		current := n.routes.Load()
+		identify := func(p *policy, key string) *response {
+			r := httptest.NewRequest(http.MethodGet, "/get/x", nil)
+			r.Header.Set(headerAuthorization, "Bearer "+key)
+			return n.identify(n.newRequest(httptest.NewRecorder(), r, p.Find(r.Host, r.URL.EscapedPath()), p.Version, time.Now()), r.Header, p.organisations)
+		}
+		convey.Convey("The former one does not reject a key", t, func() {
+			convey.So(identify(former, "acme-3").status, convey.ShouldEqual, 503)
+			convey.So(identify(former, "acme-3").reason, convey.ShouldEqual, ReasonUnproven)
+		})
+		convey.Convey("The one in force does", t, func() {
+			convey.So(identify(current, "acme-3"), convey.ShouldBeNil)
+			convey.So(identify(current, "acme-2").status, convey.ShouldEqual, 401)
+		})
+		convey.Convey("A key that is held is not rejected when the proof is renewed meanwhile", t, func() {
+			o, _ := current.organisations.Find("acme-3")
+			suspendedOnce.Store(true)
+			resp, decided := n.checkKeyAgain(t.Context(), &request{organisation: o, key: "acme-3", forwarded: &forwardedRequest{}}, response{})
+			convey.So(suspendedOnce.Load(), convey.ShouldBeFalse)
+			convey.So(decided, convey.ShouldBeTrue)
+			convey.So(resp.status, convey.ShouldEqual, 503)
+			convey.So(resp.reason, convey.ShouldEqual, ReasonUnproven)
+		})
+	})
+}
+
 // TestOldBuilds guards against connections to nodes of old builds that end, since those expect no
 // messages of subscribers, and against nodes that get no proof then.
 func TestOldBuilds(t *testing.T) {
